--- a/crates/core/src/config/compile.rs
+++ b/crates/core/src/config/compile.rs
@@ -6,10 +6,11 @@
 //! any method. Two routes that match exactly the same requests are refused,
 //! because which of them wins would depend on the order of arrival.
 
-use super::{Config, Invalid, Route};
+use super::{CallerLimits, Config, Invalid, Route};
 use crate::ids::Version;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 /// Position of a route in its [`Table`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -20,7 +21,13 @@
 pub struct Table {
     /// The version that this table belongs to.
     pub version: Version,
-    routes: Vec<Route>,
+    /// Bounds on callers, where a configuration sets them.
+    pub limits: Option<CallerLimits>,
+    routes: Vec<Arc<Route>>,
+    /// Positions of the routes that name a host, most specific first. A search
+    /// through all routes costs 4 us at 400 routes, this one 0.2 us.
+    by_host: HashMap<String, Vec<u32>>,
+    any_host: Vec<u32>,
 }
 
 impl Table {
@@ -44,7 +51,7 @@
                         second: cfg.id.clone(),
                     });
                 }
-                routes.push(route.clone());
+                routes.push(Arc::new(route.clone()));
             }
         }
         routes.sort_by_key(|route| {
@@ -57,28 +64,42 @@
                 route.methods.clone(),
             )
         });
-        Ok(Table { version, routes })
+        let limits = configs.iter().filter_map(|cfg| cfg.limits).next_back();
+        Ok(Table::indexed(version, limits, routes))
+    }
+
+    fn indexed(version: Version, limits: Option<CallerLimits>, routes: Vec<Arc<Route>>) -> Table {
+        let mut table = Table { version, limits, routes, ..Table::default() };
+        for (i, route) in table.routes.iter().enumerate() {
+            let positions = match &route.host {
+                Some(host) => table.by_host.entry(host.clone()).or_default(),
+                None => &mut table.any_host,
+            };
+            positions.push(i as u32);
+        }
+        table
     }
 
     /// Returns the most specific route for a request.
     pub fn find(&self, host: Option<&str>, path: &str, method: &str) -> Option<RouteKey> {
-        let host = host.map(without_port);
-        let i = self.routes.iter().position(|route| {
-            (route.host.is_none() || route.host.as_deref() == host)
-                && under(path, &route.prefix)
-                && (route.methods.is_empty() || route.methods.iter().any(|m| m == method))
-        })?;
-        Some(RouteKey(i as u32))
+        let named = host.and_then(|host| self.by_host.get(without_port(host)));
+        let positions = named.into_iter().flatten().chain(&self.any_host);
+        positions.copied().map(RouteKey).find(|key| {
+            self.route(*key).is_some_and(|route| {
+                under(path, &route.prefix)
+                    && (route.methods.is_empty() || route.methods.iter().any(|m| m == method))
+            })
+        })
     }
 
     /// Returns a route by its key, or `None` for the key of another table.
-    pub fn route(&self, key: RouteKey) -> Option<&Route> {
+    pub fn route(&self, key: RouteKey) -> Option<&Arc<Route>> {
         self.routes.get(key.0 as usize)
     }
 
     /// Returns the services that this table routes to, each once, sorted.
     pub fn services(&self) -> Vec<&str> {
-        let mut names: Vec<&str> = self.routes.iter().map(|route| route.service.as_str()).collect();
+        let mut names: Vec<&str> = self.routes.iter().flat_map(|route| route.services()).collect();
         names.sort_unstable();
         names.dedup();
         names
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -11,12 +11,14 @@
 
 pub mod compile;
 pub mod manifest;
+pub mod route;
 pub mod select;
 
+pub use route::{CallerLimits, Kind, Part, Priority, Route};
+
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::time::Duration;
 
 /// Labels on a configuration or a proxy.
 pub type Labels = BTreeMap<String, String>;
@@ -41,50 +43,9 @@
     pub labels: Labels,
     /// Tried most specific first, whatever their order here.
     pub routes: Vec<Route>,
-}
-
-/// Sends matching requests to a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Route {
-    /// Request's `Host` without port; absent matches any.
+    /// Bounds on callers; where several configurations set them, the last by id.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub host: Option<String>,
-    /// Prefix of the path, ending at a segment's end.
-    #[serde(default = "root_prefix")]
-    pub prefix: String,
-    /// Methods matched; empty matches any.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub methods: Vec<String>,
-    /// Service whose upstreams serve the request.
-    pub service: String,
-    /// Time a call may take in all, in milliseconds.
-    #[serde(default = "default_deadline_ms")]
-    pub deadline_ms: u64,
-    /// Methods that may be sent again after an unknown outcome.
-    #[serde(default = "default_repeatable")]
-    pub repeatable: Vec<String>,
-    /// Share of the queue this route may use under shortage.
-    #[serde(default)]
-    pub priority: Priority,
-    /// Largest request body in bytes.
-    #[serde(default = "default_max_body")]
-    pub max_body: u64,
-}
-
-/// Which calls go first when an upstream is short of slots.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(rename_all = "lowercase")]
-pub enum Priority {
-    /// Refused first.
-    Low,
-    /// The default.
-    #[default]
-    Normal,
-    /// Refused last.
-    High,
+    pub limits: Option<CallerLimits>,
 }
 
 /// Pairs configurations with the proxies that are to run them.
@@ -124,6 +85,12 @@
     Method(String),
     /// A deadline is zero or above [`MAX_DEADLINE_MS`].
     Deadline(u64),
+    /// The time of best worth is zero.
+    Objective,
+    /// No upstream may be tried.
+    Attempts,
+    /// Weighted parts are too many or weigh nothing.
+    Parts(String),
     /// Two routes of one proxy match exactly the same requests.
     Duplicate { prefix: String, first: String, second: String },
     /// No upstream has announced the service.
@@ -149,6 +116,11 @@
             Invalid::Deadline(ms) => {
                 write!(f, "deadline_ms {ms} must be 1 to {MAX_DEADLINE_MS}")
             }
+            Invalid::Objective => write!(f, "objective_ms must be at least 1"),
+            Invalid::Attempts => write!(f, "max_attempts must be at least 1"),
+            Invalid::Parts(prefix) => {
+                write!(f, "the parts of prefix {prefix:?} must be 1 to 32 with a weight over 0")
+            }
             Invalid::Duplicate { prefix, first, second } => write!(
                 f,
                 "configurations {first:?} and {second:?} both route {prefix:?} on the same proxy"
@@ -194,33 +166,6 @@
     }
 }
 
-impl Route {
-    /// Returns the call's deadline when the caller asked for nothing shorter.
-    pub fn deadline(&self) -> Duration {
-        Duration::from_millis(self.deadline_ms)
-    }
-
-    fn check(&self) -> Result<(), Invalid> {
-        check_name("service", &self.service)?;
-        if let Some(host) = &self.host {
-            check_name("host", host)?;
-        }
-        let bad = ["?", "#", "//", ".."].iter().any(|part| self.prefix.contains(part));
-        if !self.prefix.starts_with('/') || bad {
-            return Err(Invalid::Prefix(self.prefix.clone()));
-        }
-        for method in self.methods.iter().chain(&self.repeatable) {
-            if method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase()) {
-                return Err(Invalid::Method(method.clone()));
-            }
-        }
-        if self.deadline_ms == 0 || self.deadline_ms > MAX_DEADLINE_MS {
-            return Err(Invalid::Deadline(self.deadline_ms));
-        }
-        Ok(())
-    }
-}
-
 impl Selector {
     /// Parses and checks the text of one selector.
     ///
@@ -276,19 +221,3 @@
     let clean = value.bytes().all(|b| b.is_ascii_alphanumeric() || b"._-".contains(&b));
     if fits && clean { Ok(()) } else { Err(Invalid::Name { field, value: value.to_string() }) }
 }
-
-fn root_prefix() -> String {
-    "/".to_string()
-}
-
-fn default_deadline_ms() -> u64 {
-    2000
-}
-
-fn default_max_body() -> u64 {
-    16 << 20
-}
-
-fn default_repeatable() -> Vec<String> {
-    vec!["GET".to_string(), "HEAD".to_string()]
-}
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -66,11 +66,13 @@
         self.rows.values().map(|row| &row.record)
     }
 
-    /// Returns the live members of a failure domain, this daemon among them.
-    pub fn live(&self, domain: &str) -> Vec<HostKey> {
+    /// Returns the live members of a failure domain, or of all, this daemon among
+    /// them.
+    pub fn live(&self, domain: Option<&str>) -> Vec<HostKey> {
         let mut hosts: Vec<_> = self
             .iter()
-            .filter(|record| record.is_live() && record.domain == domain)
+            .filter(|record| record.is_live())
+            .filter(|record| domain.is_none_or(|domain| record.domain == domain))
             .map(|record| record.host)
             .collect();
         hosts.sort_unstable();
--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -17,7 +17,6 @@
 
 use super::{MIN_RETRY_AFTER, spread};
 use crate::config::Priority;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -55,6 +54,8 @@
 pub struct Arrival {
     /// When its answer is worthless.
     pub deadline: Instant,
+    /// Until when its answer is worth most; at most the deadline.
+    pub objective: Instant,
     /// From its route.
     pub priority: Priority,
     /// Who asked.
@@ -129,7 +130,7 @@
     Failed,
 }
 
-type Place = (Reverse<Priority>, u64, Ticket);
+type Place = (Priority, u64, Ticket);
 
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
@@ -288,7 +289,7 @@
     }
 
     fn ahead_of(&self, arrival: &Arrival) -> usize {
-        let place = (Reverse(arrival.priority), self.next_turn(arrival.caller), Ticket(self.next));
+        let place = (arrival.priority, self.next_turn(arrival.caller), Ticket(self.next));
         self.queue.range(..place).count()
     }
 
@@ -304,7 +305,7 @@
     fn enqueue(&mut self, ticket: Ticket, arrival: Arrival) {
         let turn = self.next_turn(arrival.caller);
         self.turns.insert(arrival.caller, turn);
-        let place = (Reverse(arrival.priority), turn, ticket);
+        let place = (arrival.priority, turn, ticket);
         self.queue.insert(place, arrival);
         self.waiting.insert(ticket, Waiting { arrival, place });
     }
--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -1,26 +1,39 @@
 //! Whether a call may be sent again, and what its caller is told if not.
 
-use super::spread;
+use super::{MIN_RETRY_AFTER, spread};
 use std::time::Duration;
 
-/// Most times one call is sent, the first included.
+/// Most times one call is sent to an upstream, the first included.
 pub const MAX_ATTEMPTS: u32 = 3;
-/// Share of a retry that each first attempt earns.
-const EARNED: f64 = 0.2;
-/// Most retries saved up.
-const SAVED: f64 = 20.0;
+/// Most daemons asked for one call. A refusal costs its caller a way there and
+/// back, some 3 ms; after four of them the service is full as far as anybody
+/// needs to know.
+const MAX_ASKED: u32 = 4;
 
 /// How one attempt ended, as far as the entry daemon knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Attempt {
     /// A whole answer, whatever its status.
     Answered,
-    /// It certainly did not run.
-    NotRun { retry_after: Duration },
+    /// It certainly did not run. `arrived` tells whether an upstream saw it: that
+    /// costs the upstream something, a refusal by a daemon does not.
+    NotRun { retry_after: Duration, arrived: bool },
     /// It may have run.
     Unknown,
 }
 
+impl Attempt {
+    /// Makes the outcome of an attempt that reached nobody.
+    pub fn unreached() -> Attempt {
+        Attempt::NotRun { retry_after: MIN_RETRY_AFTER, arrived: false }
+    }
+
+    /// Returns whether the attempt reached an upstream, or may have.
+    pub fn has_arrived(&self) -> bool {
+        !matches!(self, Attempt::NotRun { arrived: false, .. })
+    }
+}
+
 /// What to do after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -38,22 +51,32 @@
 ///
 /// Failure: every call to a failing service is sent three times. Symptom: the
 /// service gets three times the load at the moment it can bear least. A budget
-/// that only first attempts fill keeps the extra load under a fifth.
+/// that only first attempts fill keeps the extra load under a bound that the
+/// operators set for all daemons together: each has what its own calls earn, and
+/// its share of the slack.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     tokens: f64,
 }
 
-impl Default for Budget {
-    fn default() -> Budget {
-        Budget { tokens: SAVED / 2.0 }
-    }
+/// What fills a [`Budget`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Share of a retry that each first attempt earns.
+    pub earned: f64,
+    /// Most retries saved up.
+    pub saved: f64,
 }
 
 impl Budget {
+    /// Makes a budget with half of what may be saved.
+    pub fn new(allowance: Allowance) -> Budget {
+        Budget { tokens: allowance.saved / 2.0 }
+    }
+
     /// Records a first attempt.
-    pub fn earn(&mut self) {
-        self.tokens = (self.tokens + EARNED).min(SAVED);
+    pub fn earn(&mut self, allowance: Allowance) {
+        self.tokens = (self.tokens + allowance.earned).min(allowance.saved);
     }
 
     /// Takes a retry if there is one.
@@ -73,8 +96,10 @@
     pub repeatable: bool,
     /// Whether the body can be sent again.
     pub replayable: bool,
-    /// Attempts made.
+    /// Daemons asked.
     pub attempts: u32,
+    /// Attempts that reached an upstream, or may have.
+    pub arrivals: u32,
     /// Attempts that calls above this one left to it.
     pub allowed: u32,
     /// Whether an earlier attempt ended unknown.
@@ -95,8 +120,8 @@
     ) -> Verdict {
         match attempt {
             Attempt::Answered => Verdict::Answer,
-            Attempt::NotRun { retry_after } => {
-                if self.may_repeat(left) && budget.spend() {
+            Attempt::NotRun { retry_after, arrived } => {
+                if self.may_repeat(left) && (!arrived || budget.spend()) {
                     return Verdict::Again;
                 }
                 // Failure: the first attempt ran and its answer was lost, the
@@ -120,6 +145,7 @@
     }
 
     fn may_repeat(&self, left: Duration) -> bool {
-        self.replayable && self.attempts < MAX_ATTEMPTS.min(self.allowed) && !left.is_zero()
+        let room = self.arrivals < self.allowed && self.attempts < MAX_ASKED;
+        self.replayable && room && !left.is_zero()
     }
 }
--- /dev/null
+++ b/crates/edge/src/interface.rs
@@ -0,0 +1,119 @@
+//! The form in which callers, upstreams and operators speak.
+
+use cicadashift_core::config::{Config, Selector};
+use cicadashift_core::ids::Version;
+use cicadashift_core::membership::record::Readiness;
+use cicadashift_http::hyper::Method;
+use cicadashift_http::hyper::header::HeaderName;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Names of the headers that callers and upstreams use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dialect {
+    /// Names a call; the same towards caller and upstream.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline_ms: HeaderName,
+    /// Tells the upstream on whose host the call began.
+    pub caller_service: Option<HeaderName>,
+    /// Tells the upstream which instance is meant; another one must refuse.
+    pub expected_instance: Option<HeaderName>,
+    /// On an upstream's answer: it did not run the call.
+    pub not_run: HeaderName,
+    /// On an upstream's refusal: which instance it is.
+    pub instance: Option<HeaderName>,
+    /// Whether upstreams repeat the request id in their answers. An answer with
+    /// another id belongs to another call.
+    pub echoes_request_id: bool,
+    /// Whether `Retry-After` may have a fraction.
+    pub fractional_retry_after: bool,
+}
+
+/// What an upstream tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// The instance's name; each start of an upstream has a new one.
+    pub instance: String,
+    /// The service that it serves.
+    pub service: String,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: u16,
+    /// Whether it takes work.
+    pub readiness: Readiness,
+    /// Rises with each report of this instance, so that a late one is known.
+    pub sequence: u64,
+    /// How much longer it stays slow after its start.
+    pub cold_for: Duration,
+}
+
+/// A call of an upstream about itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// It runs.
+    Announce(Announcement),
+    /// It takes no more work and will end.
+    Leave { instance: String },
+}
+
+/// One whole version of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Document {
+    /// Its place in the order of versions.
+    pub version: Version,
+    /// All configurations.
+    pub configs: Vec<Config>,
+    /// Which of them reach whom.
+    pub selectors: Vec<Selector>,
+}
+
+/// Why bytes are not what they should be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Malformed {
+    /// The bytes do not parse; carries the parser's words.
+    Syntax(String),
+    /// A field has a value that is not allowed.
+    Field { field: &'static str, value: String },
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Malformed::Syntax(why) => write!(f, "cannot be parsed: {why}"),
+            Malformed::Field { field, value } => write!(f, "field {field}: {value} is not allowed"),
+        }
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// A platform's own way of speaking.
+pub trait Interface: Send + Sync {
+    /// Returns the names of headers.
+    fn dialect(&self) -> &Dialect;
+
+    /// Returns the key under which the newest configuration lies whole.
+    fn config_key(&self) -> &'static str;
+
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it; nothing is repaired.
+    fn document(&self, buf: &[u8]) -> Result<Document, Malformed>;
+
+    /// Decodes a call of an upstream, or returns `None` where the path is not
+    /// one for such calls.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the call's body.
+    fn report(&self, method: &Method, path: &str, body: &[u8])
+    -> Result<Option<Report>, Malformed>;
+
+    /// Returns whether a path asks if the daemon takes work.
+    fn is_readiness_path(&self, path: &str) -> bool;
+}
--- a/src/platform/mod.rs
+++ b/crates/edge/src/store.rs
@@ -1,11 +1,4 @@
-//! The platform's key-value service, seen through one narrow trait.
-//!
-//! Everything that must last is here, and nothing else is: the head, immutable
-//! objects, reader leases, the roster and the delivery record. [`etcd`] speaks
-//! the one protocol there is so far.
-
-pub mod etcd;
-pub mod keys;
+//! The key-value service in which everything lasts, seen through one narrow trait.
 
 use std::fmt;
 use std::future::Future;
@@ -117,6 +110,15 @@
         lease: Option<Lease>,
     ) -> impl Future<Output = Result<Swap, PlatformError>> + Send;
 
+    /// Writes a key under a lease, whatever it held; [`Swap::Lost`] where the
+    /// lease has ended.
+    fn put_leased(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: Lease,
+    ) -> impl Future<Output = Result<Swap, PlatformError>> + Send;
+
     /// Asks for a lease.
     fn grant(&self, time: Duration) -> impl Future<Output = Result<Lease, PlatformError>> + Send;
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full, Limited};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 /// Any body that is sent.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
@@ -33,6 +36,39 @@
     Full::new(buf.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Returns a body that keeps a value until it has ended or is dropped.
+pub fn tied(body: Body, value: impl Send + 'static) -> Body {
+    Tied { body, _value: value }.boxed_unsync()
+}
+
+struct Tied<T> {
+    body: Body,
+    _value: T,
+}
+
+// Nothing in it is pinned: the inner body is boxed.
+impl<T> Unpin for Tied<T> {}
+
+impl<T> HttpBody for Tied<T> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Returns a body without bytes.
 pub fn empty() -> Body {
     Empty::new().map_err(|never| match never {}).boxed_unsync()
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,7 +1,11 @@
 //! Sending requests over kept connections.
+//!
+//! A connection is used again only after the caller has read the whole answer
+//! and found it in order ([`Connection::keep`]). Whatever else happens closes it,
+//! so that bytes of one answer can never reach the next request.
 
 use crate::body::{self, Body, BodyError};
-use crate::exec;
+use crate::{exec, socket};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -12,10 +16,17 @@
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time for a connection to be made.
 pub const CONNECT_TIME: Duration = Duration::from_millis(1000);
+/// Time after which an unused connection is closed. Servers of this project and
+/// of its users keep them for longer, so a request rarely meets a closing one,
+/// and an idle connection costs some 20 KB at both ends.
+pub const IDLE_TIME: Duration = Duration::from_secs(4);
+/// Most bytes buffered for one answer; hyper's own bound is 400 KB, which a few
+/// slow readers of large answers make the largest part of a daemon's memory.
+const BUFFER_BYTES: usize = 64 << 10;
 
 /// Why a request has no answer.
 #[derive(Debug)]
@@ -56,7 +67,36 @@
 /// Connections kept for reuse, by address.
 pub struct Pool {
     per_address: usize,
-    idle: Mutex<HashMap<SocketAddr, Vec<SendRequest<Body>>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+struct Idle {
+    sender: SendRequest<Body>,
+    until: Instant,
+}
+
+/// The connection that an answer comes on; dropping it closes it once the answer
+/// has ended.
+pub struct Connection {
+    to: SocketAddr,
+    sender: SendRequest<Body>,
+}
+
+impl Connection {
+    /// Puts the connection back for at most `idle`.
+    ///
+    /// To be called when the answer has been read whole and found to belong to
+    /// its request.
+    pub fn keep(self, pool: &Pool, idle: Duration) {
+        if self.sender.is_closed() {
+            return;
+        }
+        let mut kept = pool.lock();
+        let idles = kept.entry(self.to).or_default();
+        if idles.len() < pool.per_address {
+            idles.push(Idle { sender: self.sender, until: Instant::now() + idle });
+        }
+    }
 }
 
 impl Pool {
@@ -65,7 +105,8 @@
         Pool { per_address, idle: Mutex::new(HashMap::new()) }
     }
 
-    /// Sends a request and returns the head of its answer.
+    /// Sends a request and returns the head of its answer with the connection
+    /// that the rest of it comes on.
     ///
     /// A kept connection that its peer has closed meanwhile is noticed before
     /// the request is written, and the request goes to a new one.
@@ -78,14 +119,11 @@
         &self,
         to: SocketAddr,
         req: Request<Body>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
         let mut req = req;
         while let Some(mut sender) = self.take(to) {
             match sender.try_send_request(req).await {
-                Ok(answer) => {
-                    self.keep(to, sender);
-                    return Ok(answer);
-                }
+                Ok(answer) => return Ok((answer, Connection { to, sender })),
                 Err(mut err) => match err.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(SendError::Broken(err.into_error().to_string())),
@@ -94,10 +132,7 @@
         }
         let mut sender = connect(to).await?;
         match sender.try_send_request(req).await {
-            Ok(answer) => {
-                self.keep(to, sender);
-                Ok(answer)
-            }
+            Ok(answer) => Ok((answer, Connection { to, sender })),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(SendError::NotSent),
                 None => Err(SendError::Broken(err.into_error().to_string())),
@@ -119,8 +154,10 @@
         time: Duration,
     ) -> Result<Response<Bytes>, SendError> {
         let whole = async {
-            let (head, incoming) = self.send(to, req).await?.into_parts();
+            let (answer, connection) = self.send(to, req).await?;
+            let (head, incoming) = answer.into_parts();
             let buf = body::read(incoming, most).await.map_err(SendError::Body)?;
+            connection.keep(self, IDLE_TIME);
             Ok(Response::from_parts(head, buf))
         };
         exec::timeout(time, whole).await.unwrap_or(Err(SendError::TimedOut))
@@ -131,23 +168,27 @@
         self.lock().remove(&to);
     }
 
-    fn take(&self, to: SocketAddr) -> Option<SendRequest<Body>> {
-        let mut idle = self.lock();
-        let senders = idle.get_mut(&to)?;
-        senders.retain(|sender| !sender.is_closed());
-        let ready = senders.iter().rposition(SendRequest::is_ready)?;
-        Some(senders.swap_remove(ready))
+    /// Closes connections that were not used for their time.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.lock().retain(|_, idles| {
+            idles.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            !idles.is_empty()
+        });
     }
 
-    fn keep(&self, to: SocketAddr, sender: SendRequest<Body>) {
-        let mut idle = self.lock();
-        let senders = idle.entry(to).or_default();
-        if senders.len() < self.per_address {
-            senders.push(sender);
-        }
+    /// Takes the connection that was used last, so that those not needed any
+    /// more reach their time.
+    fn take(&self, to: SocketAddr) -> Option<SendRequest<Body>> {
+        let now = Instant::now();
+        let mut kept = self.lock();
+        let idles = kept.get_mut(&to)?;
+        idles.retain(|idle| now < idle.until && !idle.sender.is_closed());
+        let ready = idles.iter().rposition(|idle| idle.sender.is_ready())?;
+        Some(idles.remove(ready).sender)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<SendRequest<Body>>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
@@ -157,8 +198,10 @@
         .await
         .ok_or_else(|| SendError::Unreached("timed out".to_string()))?
         .map_err(|err| SendError::Unreached(err.to_string()))?;
-    let _best_effort = stream.get_ref().set_nodelay(true);
-    let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+    socket::tune(stream.get_ref());
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(|err| SendError::Unreached(err.to_string()))?;
     exec::spawn(async move {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod client;
 pub mod exec;
 pub mod server;
+mod socket;
 
 pub use hyper;
--- a/crates/measure/src/converge.rs
+++ b/crates/measure/src/converge.rs
@@ -106,7 +106,7 @@
     plain.wait(first, 0, &mut Times::default()).await;
     let (bytes, calls) = (plain.bytes(), mesh.platform.counts().calls());
     for n in 0..changes {
-        let began = SystemClock.wall_ms();
+        let began = SystemClock::new().wall_ms();
         let version = accept(mesh, &config(n % GROUPS, 1_000_000 + n)).await;
         plain.wait(version, began, &mut times).await;
     }
@@ -177,7 +177,7 @@
             mesh.platform.fault(|faults| faults.outage = true);
             smol::Timer::after(FAULT_TIME).await;
             mesh.platform.fault(|faults| faults.outage = false);
-            (accept(mesh, &text).await, SystemClock.wall_ms())
+            (accept(mesh, &text).await, SystemClock::new().wall_ms())
         }
         "partition" => {
             let cut = DOMAINS[n % DOMAINS.len()];
@@ -188,7 +188,7 @@
             smol::Timer::after(FAULT_TIME / 2).await;
             mesh.fleet.cut(false);
             mesh.fleet.cut_platform(cut, false);
-            (version, SystemClock.wall_ms())
+            (version, SystemClock::new().wall_ms())
         }
         "herd" => {
             let herd: Vec<usize> = mesh.all().into_iter().filter(|i| (i + n) % 3 != 0).collect();
@@ -196,7 +196,7 @@
             let version = accept(mesh, &text).await;
             smol::Timer::after(FAULT_TIME / 4).await;
             herd.iter().for_each(|i| mesh.fleet.restart(*i));
-            (version, SystemClock.wall_ms())
+            (version, SystemClock::new().wall_ms())
         }
         "freeze" => {
             let frozen: Vec<usize> = mesh.all().into_iter().filter(|i| (i + n) % 5 == 0).collect();
@@ -205,10 +205,10 @@
             let version = accept(mesh, &text).await;
             smol::Timer::after(FAULT_TIME / 2).await;
             frozen.iter().for_each(|i| mesh.fleet.freeze(*i, false));
-            (version, SystemClock.wall_ms())
+            (version, SystemClock::new().wall_ms())
         }
         _ => {
-            let began = SystemClock.wall_ms();
+            let began = SystemClock::new().wall_ms();
             (accept(mesh, &text).await, began)
         }
     };
@@ -247,7 +247,7 @@
         let status = mesh.fleet.status(i).await;
         bytes += status.and_then(|status| status["control_bytes"].as_u64()).unwrap_or(0);
     }
-    Counters { bytes, calls: mesh.platform.counts().calls(), at_ms: SystemClock.wall_ms() }
+    Counters { bytes, calls: mesh.platform.counts().calls(), at_ms: SystemClock::new().wall_ms() }
 }
 
 impl Counters {
--- a/crates/measure/src/storm.rs
+++ b/crates/measure/src/storm.rs
@@ -37,7 +37,7 @@
     smol::Timer::after(DOWN).await;
     let mut started = Vec::new();
     for i in &herd {
-        started.push(SystemClock.wall_ms());
+        started.push(SystemClock::new().wall_ms());
         mesh.fleet.restart(*i);
     }
     let back = mesh.fleet.wait_running(&mesh.all(), version, PATIENCE).await;
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -148,14 +148,15 @@
     pub fn restart(&mut self, i: usize) {
         let node = &mut self.nodes[i];
         let log = File::options().create(true).append(true).open(&node.log).expect("a log file");
+        let errors = log.try_clone().expect("a second handle");
         let child = Command::new(&self.spec.program)
             .args(&self.spec.prefix)
             .arg("daemon")
             .arg("--settings")
             .arg(&node.settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(log)
+            .stderr(errors)
             .spawn()
             .expect("the program can be started");
         node.child = Some(child);
--- a/crates/testkit/src/mesh.rs
+++ b/crates/testkit/src/mesh.rs
@@ -5,7 +5,7 @@
 use crate::upstream::{Behaviour, Ledger, Upstream};
 use cicadashift::clock::{Clock, SystemClock};
 use cicadashift::operator::{OperatorError, change};
-use cicadashift::platform::etcd::Etcd;
+use cicadashift::store::etcd::Etcd;
 use cicadashift_core::config::Selector;
 use cicadashift_core::delivery::head::Operation;
 use cicadashift_core::ids::Version;
@@ -95,7 +95,7 @@
     ///
     /// Returns what the operators' client says.
     pub async fn commit(&self, op: &Operation) -> Result<Version, OperatorError> {
-        change::commit(&self.client, op, None, SystemClock.wall_ms()).await
+        change::commit(&self.client, op, None, SystemClock::new().wall_ms()).await
     }
 
     /// Accepts a configuration as the command line does.
@@ -117,7 +117,7 @@
                 Err(_) => smol::Timer::after(Duration::from_millis(100)).await,
             };
         }
-        change::commit(&self.client, &op, Some(object), SystemClock.wall_ms()).await
+        change::commit(&self.client, &op, Some(object), SystemClock::new().wall_ms()).await
     }
 
     /// Accepts a configuration and waits until every daemon runs it; returns the
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -48,10 +48,14 @@
     pub instance: String,
     /// Milliseconds left of the deadline when it was sent.
     pub deadline_ms: u32,
+    /// Milliseconds left of the time in which an answer is worth most.
+    pub objective_ms: u32,
     /// From its route.
     pub priority: Priority,
     /// Names the caller for fairness.
     pub caller: u64,
+    /// Service of the host on which the call began; empty where it is not told.
+    pub caller_service: String,
     /// Attempts left to calls that the upstream makes.
     pub attempts: u32,
     /// The configuration version that routed it.
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -67,6 +67,8 @@
     Head,
     /// Which version is active here?
     Current,
+    /// Send the configuration that is in force, whole.
+    Document,
     /// What do you know of yourself, for `status`?
     Status,
     /// Add these rows to the delivery record.
@@ -105,6 +107,8 @@
     },
     /// To `Head` and `Current`: nothing where it is not known.
     Version(Option<VersionRef>),
+    /// To `Document`: its version and text, or nothing where none is in force.
+    Document(Option<(Version, ByteBuf)>),
     /// To `Status`, as JSON, since it goes on to people.
     Status(String),
     /// Nothing to say.
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -4,8 +4,8 @@
 use crate::clock::{Clock, SystemClock};
 use crate::operator::change::{self, Snapshot};
 use crate::operator::{OperatorError, fleet, plan, record, report};
-use crate::platform::PlatformError;
-use crate::platform::etcd::Etcd;
+use crate::store::PlatformError;
+use crate::store::etcd::Etcd;
 use cicadashift_core::config::manifest::Object;
 use cicadashift_core::config::{Invalid, Labels, Selector, check_labels, check_name};
 use cicadashift_core::delivery::head::Operation;
@@ -72,7 +72,7 @@
     ) -> std::result::Result<Client, Misuse> {
         let platform = Etcd::new(addresses(platform, PLATFORM_ENV)?);
         let daemons = addresses(daemons, DAEMON_ENV)?;
-        Ok(Client { platform, daemons, json, clock: SystemClock })
+        Ok(Client { platform, daemons, json, clock: SystemClock::new() })
     }
 
     /// Prints what a command says; returns the exit code.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod flags;
+mod reload;
 
 use crate::clock::SystemClock;
 use crate::settings::Settings;
@@ -13,6 +14,8 @@
 use cicadashift_http::{exec, server};
 use client::Client;
 use flags::main::CicadashiftCmd;
+use flexi_logger::LoggerHandle;
+use reload::Reloader;
 use std::ffi::OsString;
 use std::path::Path;
 use std::sync::Arc;
@@ -135,7 +138,7 @@
             return NOT_DONE;
         }
     };
-    let result = exec::run(settings.threads, until_signal(settings));
+    let result = exec::run(settings.threads, until_signal(settings, file, &handle));
     handle.flush();
     match result {
         Ok(()) => DONE,
@@ -146,20 +149,30 @@
     }
 }
 
-/// Runs a daemon until SIGTERM or SIGINT; a second signal ends it at once.
-async fn until_signal(settings: Settings) -> eyre::Result<()> {
+/// Runs a daemon until SIGTERM or SIGINT; a second one ends it at once. SIGHUP
+/// reads the settings again, and so does a change of the file.
+async fn until_signal(settings: Settings, file: &Path, log: &LoggerHandle) -> eyre::Result<()> {
     use async_signal::{Signal, Signals};
     use smol::stream::StreamExt;
     let (stop, stopped) = server::stop_pair();
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let reloader = Arc::new(Reloader::new(file, settings.clone(), log.clone()));
+    let watching = exec::spawn(reload::watch(reloader.clone()));
+    let changes = reloader.changes();
     let waiting = exec::spawn(async move {
-        let _signal = signals.next().await;
-        drop(stop);
-        let _second = signals.next().await;
-        std::process::exit(NOT_DONE);
+        let mut stop = Some(stop);
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => reloader.reload("signal"),
+                Ok(_) if stop.is_some() => stop = None,
+                Ok(_) => std::process::exit(NOT_DONE),
+                Err(err) => log::warn!("a signal was lost: {err}"),
+            }
+        }
     });
-    let result = daemon::run(settings, Arc::new(SystemClock), stopped).await;
+    let result = daemon::run(settings, Arc::new(SystemClock::new()), stopped, changes).await;
     waiting.cancel().await;
+    watching.cancel().await;
     result
 }
 
--- a/src/daemon/catch_up.rs
+++ b/src/daemon/catch_up.rs
@@ -2,7 +2,7 @@
 
 use super::stage::{self, Source};
 use super::{Daemon, mesh, reader};
-use crate::platform::{Platform, keys};
+use crate::store::{Platform, keys};
 use cicadashift_core::delivery::node::Event;
 use cicadashift_core::delivery::stage::Scope;
 use cicadashift_core::ids::{HostKey, Version};
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -3,10 +3,11 @@
 use super::{Daemon, lock};
 use cicadashift_core::membership::record::{Endpoint, Readiness};
 use cicadashift_core::request::gate::{Admission, Arrival, End, Gate, Refusal, Ticket, Wake};
+use cicadashift_edge::interface::Announcement;
 use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
 use smol::channel::{Receiver, Sender};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,17 +18,9 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Failures to connect in a row after which an upstream is taken for gone.
 const UNREACHED_MOST: u32 = 3;
-
-/// What an upstream announces.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Announced {
-    /// Its record for others.
-    pub endpoint: Endpoint,
-    /// Where it serves.
-    pub address: SocketAddr,
-    /// Connections it takes.
-    pub connections: usize,
-}
+/// Instances that ended, remembered so that a late report does not bring one
+/// back. One host has one upstream at a time; sixteen lives are hours.
+const ENDED_KEPT: usize = 16;
 
 /// One upstream on this host.
 pub struct Local {
@@ -40,7 +33,7 @@
 
 struct LocalState {
     gate: Gate,
-    announced: Announced,
+    announced: Announcement,
     reported: Instant,
     unreached: u32,
     waiting: HashMap<Ticket, Sender<Result<(), Refusal>>>,
@@ -49,7 +42,14 @@
 /// Upstreams on this host by instance name.
 #[derive(Default)]
 pub struct Gates {
-    by_instance: Mutex<HashMap<String, Arc<Local>>>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    by_instance: HashMap<String, Arc<Local>>,
+    /// Instances that left or whose address another one has now, newest last.
+    ended: VecDeque<String>,
 }
 
 impl Gates {
@@ -59,20 +59,15 @@
     }
 
     /// Takes in an announcement and tells the mesh.
-    pub fn announce(&self, d: &Daemon, announced: Announced) {
-        let name = announced.endpoint.instance.clone();
-        let known = lock(&self.by_instance).get(&name).cloned();
-        match known.filter(|local| local.address == announced.address) {
-            Some(local) => local.renew(announced, d.clock.now()),
-            None => {
-                let local = Arc::new(Local::new(announced, d.clock.now()));
-                let old = lock(&self.by_instance).insert(name, local);
-                if let Some(old) = old {
-                    old.drain();
-                }
-            }
+    pub fn announce(&self, d: &Daemon, announced: Announcement) {
+        let now = d.clock.now();
+        let (news, replaced) = lock(&self.inner).announce(announced, now);
+        for local in replaced {
+            local.drain();
+        }
+        if news {
+            self.publish(d);
         }
-        self.publish(d);
     }
 
     /// Takes in a report; `false` if the instance is not known.
@@ -87,45 +82,104 @@
 
     /// Takes an upstream away; its calls in progress end as they may.
     pub fn remove(&self, d: &Daemon, instance: &str) -> bool {
-        let Some(local) = lock(&self.by_instance).remove(instance) else { return false };
+        let removed = lock(&self.inner).end(instance);
+        let Some(local) = removed else { return false };
         local.drain();
         self.publish(d);
         true
     }
 
+    /// Takes in that an upstream said it is another instance.
+    ///
+    /// Failure: the report of an instance that ended arrives after that of the
+    /// one which has its address now. Symptom: every call is refused as
+    /// misdirected until the next report. The one that answers is believed.
+    pub fn misdirected(&self, d: &Daemon, instance: &str, other: Option<&str>) {
+        if let Some(other) = other {
+            lock(&self.inner).ended.retain(|ended| ended != other);
+        }
+        self.remove(d, instance);
+    }
+
     /// Returns an upstream.
     pub fn get(&self, instance: &str) -> Option<Arc<Local>> {
-        lock(&self.by_instance).get(instance).cloned()
+        lock(&self.inner).by_instance.get(instance).cloned()
     }
 
     /// Returns all upstreams with their load, for `status`.
     pub fn all(&self) -> Vec<(Endpoint, Load)> {
-        let locals: Vec<_> = lock(&self.by_instance).values().cloned().collect();
-        locals.iter().map(|local| (local.endpoint(), local.load())).collect()
+        self.locals().iter().map(|(_, local)| (local.endpoint(), local.load())).collect()
+    }
+
+    fn locals(&self) -> Vec<(String, Arc<Local>)> {
+        let inner = lock(&self.inner);
+        inner.by_instance.iter().map(|(name, local)| (name.clone(), local.clone())).collect()
     }
 
     fn publish(&self, d: &Daemon) {
-        let locals: Vec<_> = lock(&self.by_instance).values().cloned().collect();
-        let mut endpoints: Vec<_> = locals.iter().map(|local| local.endpoint()).collect();
+        let mut endpoints: Vec<_> =
+            self.locals().iter().map(|(_, local)| local.endpoint()).collect();
         endpoints.sort_by(|a, b| a.instance.cmp(&b.instance));
         d.members.set_endpoints(d, endpoints);
     }
 
     fn tick(&self, d: &Daemon) {
         let now = d.clock.now();
-        let locals: Vec<_> =
-            lock(&self.by_instance).iter().map(|(name, l)| (name.clone(), l.clone())).collect();
-        for (name, local) in locals {
+        for (name, local) in self.locals() {
+            local.pool.sweep();
             if local.tick(now) {
                 log::warn!("upstream {name} is taken for gone: no reports and no connection");
-                self.remove(d, &name);
+                d.metrics.incr("upstream.lost");
+                let removed = lock(&self.inner).by_instance.remove(&name);
+                removed.iter().for_each(|local| local.drain());
+                self.publish(d);
             }
         }
     }
 }
 
+impl Inner {
+    /// Returns whether there is news for the mesh, and which upstreams the
+    /// announced one replaces.
+    fn announce(&mut self, announced: Announcement, now: Instant) -> (bool, Vec<Arc<Local>>) {
+        let name = announced.instance.clone();
+        if self.ended.contains(&name) {
+            log::info!("upstream {name} has ended; its late report is not taken in");
+            return (false, Vec::new());
+        }
+        if let Some(local) = self.by_instance.get(&name) {
+            if local.address == announced.address {
+                return (local.renew(announced, now), Vec::new());
+            }
+        }
+        // An address has one instance: a new one there means that the old ended.
+        let same_place = |local: &Arc<Local>| local.address == announced.address;
+        let replaced: Vec<String> = self
+            .by_instance
+            .iter()
+            .filter(|(_, local)| same_place(local))
+            .map(|(name, _)| name.clone())
+            .collect();
+        let mut gone: Vec<_> = replaced.iter().filter_map(|name| self.end(name)).collect();
+        log::info!("upstream {name} of {} announced", announced.service);
+        let local = Arc::new(Local::new(announced, now));
+        gone.extend(self.by_instance.insert(name, local));
+        (true, gone)
+    }
+
+    fn end(&mut self, instance: &str) -> Option<Arc<Local>> {
+        if !self.ended.iter().any(|ended| ended == instance) {
+            self.ended.push_back(instance.to_string());
+        }
+        while self.ended.len() > ENDED_KEPT {
+            self.ended.pop_front();
+        }
+        self.by_instance.remove(instance)
+    }
+}
+
 /// Load of one upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Calls at the upstream.
     pub running: usize,
@@ -138,24 +192,17 @@
 }
 
 impl Local {
-    fn new(announced: Announced, now: Instant) -> Local {
-        let cold = announced.endpoint.readiness == Readiness::Cold;
-        let mut gate = Gate::new(u32::from(announced.endpoint.slots), cold);
-        if announced.endpoint.readiness == Readiness::Draining {
+    fn new(announced: Announcement, now: Instant) -> Local {
+        let cold = announced.readiness == Readiness::Cold;
+        let mut gate = Gate::new(u32::from(announced.slots), cold);
+        if announced.readiness == Readiness::Draining {
             let _nobody_waits = gate.drain();
         }
-        let state = LocalState {
-            gate,
-            announced: announced.clone(),
-            reported: now,
-            unreached: 0,
-            waiting: HashMap::new(),
-        };
-        Local {
-            pool: Pool::new(announced.connections),
-            address: announced.address,
-            state: Mutex::new(state),
-        }
+        let connections = usize::from(announced.slots);
+        let address = announced.address;
+        let state =
+            LocalState { gate, announced, reported: now, unreached: 0, waiting: HashMap::new() };
+        Local { pool: Pool::new(connections), address, state: Mutex::new(state) }
     }
 
     /// Decides about a call, waiting in the queue if need be.
@@ -186,9 +233,22 @@
         lock(&self.state).unreached += 1;
     }
 
+    /// Notes that a call was given up without a word from the upstream: its
+    /// other connections may be as silent.
+    pub fn silent(&self, d: &Daemon) {
+        d.metrics.incr("upstream.silent");
+        self.pool.forget(self.address);
+    }
+
     /// Returns its record for others.
     pub fn endpoint(&self) -> Endpoint {
-        lock(&self.state).announced.endpoint.clone()
+        let state = lock(&self.state);
+        Endpoint {
+            instance: state.announced.instance.clone(),
+            service: state.announced.service.clone(),
+            slots: state.announced.slots,
+            readiness: state.announced.readiness,
+        }
     }
 
     /// Returns its load.
@@ -202,28 +262,27 @@
         }
     }
 
-    fn renew(&self, announced: Announced, now: Instant) {
+    /// Takes in a further announcement; returns whether others must hear of it.
+    fn renew(&self, announced: Announcement, now: Instant) -> bool {
         let mut state = lock(&self.state);
+        // Failure: a report is held up on its way and arrives after a newer one.
+        // Symptom: an upstream that leaves is taken for ready again.
+        if announced.sequence < state.announced.sequence {
+            return false;
+        }
         state.reported = now;
-        state.gate.set_slots(u32::from(announced.endpoint.slots));
-        state.announced = announced;
+        state.gate.set_slots(u32::from(announced.slots));
+        let readiness = announced.readiness;
+        let slots_changed = state.announced.slots != announced.slots;
+        let was = state.announced.readiness;
+        state.announced = Announcement { readiness: was, ..announced };
+        state.take_readiness(readiness) || slots_changed
     }
 
     fn report(&self, readiness: Readiness, now: Instant) -> bool {
         let mut state = lock(&self.state);
         state.reported = now;
-        let was = state.announced.endpoint.readiness;
-        // A drain is final for an instance: one that is claimed over afterwards
-        // is a late or lying report. It must announce itself anew.
-        if was == readiness || was == Readiness::Draining {
-            return false;
-        }
-        state.announced.endpoint.readiness = readiness;
-        if readiness == Readiness::Draining {
-            let wakes = state.gate.drain();
-            state.tell(wakes);
-        }
-        true
+        state.take_readiness(readiness)
     }
 
     fn drain(&self) {
@@ -258,6 +317,22 @@
 }
 
 impl LocalState {
+    fn take_readiness(&mut self, readiness: Readiness) -> bool {
+        let was = self.announced.readiness;
+        // A drain is final for an instance: one that is claimed over afterwards
+        // is a late or lying report. It must announce itself anew.
+        if was == readiness || was == Readiness::Draining {
+            return false;
+        }
+        self.announced.readiness = readiness;
+        if readiness == Readiness::Draining {
+            log::info!("upstream {} leaves", self.announced.instance);
+            let wakes = self.gate.drain();
+            self.tell(wakes);
+        }
+        true
+    }
+
     fn tell(&mut self, wakes: Vec<Wake>) {
         for wake in wakes {
             let (ticket, news) = match wake {
@@ -332,5 +407,6 @@
     loop {
         smol::Timer::after(TICK).await;
         d.gates.tick(&d);
+        d.mesh_pool.sweep();
     }
 }
--- a/src/daemon/gateway.rs
+++ b/src/daemon/gateway.rs
@@ -7,7 +7,7 @@
 
 use super::stage::Source;
 use super::{Daemon, lock, mesh, rollout};
-use crate::platform::{Platform, keys};
+use crate::store::{Platform, keys};
 use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::membership::table::JournalPos;
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -1,6 +1,7 @@
 //! Probes and gossip over UDP.
 
-use super::{Daemon, catch_up};
+use super::{Daemon, catch_up, source};
+use crate::settings::InterfaceKind;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::detector::Probe;
 use cicadashift_core::membership::gossip::GOSSIP_FANOUT;
@@ -15,6 +16,9 @@
 const TICK: Duration = Duration::from_millis(100);
 /// The same while all is quiet; waking up is most of an idle daemon's work.
 const QUIET_TICK: Duration = Duration::from_millis(200);
+/// Time between two probes of members that are believed dead: they may have come
+/// back without a way to find the others.
+const LOST_EVERY: Duration = Duration::from_millis(500);
 /// Rounds sent at once when a daemon leaves.
 const FLUSH_ROUNDS: usize = 4;
 /// Bytes of IP and UDP heads, for the count.
@@ -34,6 +38,7 @@
 
 /// Probes and tells until cancelled.
 pub async fn run(d: Arc<Daemon>) {
+    let mut next_lost = d.clock.now();
     loop {
         let quiet = d.members.is_quiet();
         smol::Timer::after(if quiet { QUIET_TICK } else { TICK }).await;
@@ -41,6 +46,12 @@
         for probe in d.members.tick(now, fastrand::u64(..)) {
             act(&d, probe).await;
         }
+        if now >= next_lost && d.settings.interface == InterfaceKind::Platform {
+            next_lost = now + LOST_EVERY;
+            if let Some(host) = fastrand::choice(&d.members.lost()) {
+                send(&d, *host, Kind::Ping, Vec::new()).await;
+            }
+        }
         if !d.members.is_quiet() {
             round(&d).await;
         }
@@ -137,7 +148,24 @@
     }
     if active > d.versions.active_version() {
         let d = d.clone();
-        exec::spawn(async move { catch_up::behind(&d, host).await }).detach();
+        exec::spawn(async move {
+            match d.settings.interface {
+                InterfaceKind::Own => catch_up::behind(&d, host).await,
+                InterfaceKind::Platform => source::learn_from(&d, host).await,
+            }
+        })
+        .detach();
+    }
+    if d.members.get(host).is_none() {
+        // Failure: a daemon starts while the store is out and finds nobody.
+        // Symptom: it stays alone although the others live. They go on probing
+        // its address, and whoever probes is somebody to join.
+        let d = d.clone();
+        exec::spawn(async move {
+            catch_up::sync_with(&d, from).await;
+        })
+        .detach();
+        return;
     }
     if matches!(kind, Kind::Ping | Kind::Ack) {
         compare(d, digest, from, differences);
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -1,7 +1,7 @@
 //! Membership's state: the table, what is to be told, who answers.
 
 use super::{Daemon, lock};
-use crate::settings::Settings;
+use crate::settings::{InterfaceKind, Settings};
 use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::membership::detector::{Detector, Probe};
 use cicadashift_core::membership::gossip::Queue;
@@ -10,6 +10,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 struct Inner {
@@ -26,6 +27,10 @@
     inner: Mutex<Inner>,
     me: HostKey,
     domain: String,
+    /// Whether all daemons of the mesh probe and tell each other, not only those
+    /// of one failure domain.
+    flat: bool,
+    live: AtomicUsize,
 }
 
 impl Members {
@@ -56,7 +61,19 @@
             catalog: BTreeSet::new(),
         };
         let domain = settings.failure_domain.clone();
-        Members { inner: Mutex::new(inner), me, domain }
+        let flat = settings.interface == InterfaceKind::Platform;
+        Members { inner: Mutex::new(inner), me, domain, flat, live: AtomicUsize::new(1) }
+    }
+
+    /// Returns how many daemons of the mesh are believed to run, this one
+    /// included.
+    pub fn live_count(&self) -> usize {
+        self.live.load(Ordering::Relaxed)
+    }
+
+    /// The failure domain within which members probe and tell each other.
+    fn scope(&self) -> Option<&str> {
+        if self.flat { None } else { Some(&self.domain) }
     }
 
     /// Takes records in; returns whether any was new.
@@ -65,17 +82,24 @@
         let mut changed = false;
         {
             let mut inner = lock(&self.inner);
-            let count = inner.table.live(&self.domain).len();
+            let count = inner.table.live(self.scope()).len();
             for record in records {
                 changed |= inner.take(record, count, now);
             }
         }
         if changed {
-            d.services.sync(d);
+            self.changed(d);
         }
         changed
     }
 
+    /// Passes a changed table on to what is derived from it.
+    fn changed(&self, d: &Daemon) {
+        let live = lock(&self.inner).table.iter().filter(|record| record.is_live()).count();
+        self.live.store(live, Ordering::Relaxed);
+        d.services.sync(d);
+    }
+
     /// Changes this daemon's own record and spreads it.
     pub fn update_own(&self, d: &Daemon, change: impl FnOnce(&mut Record)) {
         {
@@ -83,10 +107,10 @@
             let record = inner.table.update_own(d.clock.now(), change);
             let services: Vec<_> = record.endpoints.iter().map(|e| e.service.clone()).collect();
             inner.catalog.extend(services);
-            let count = inner.table.live(&self.domain).len();
+            let count = inner.table.live(self.scope()).len();
             inner.queue.push(record, count);
         }
-        d.services.sync(d);
+        self.changed(d);
     }
 
     /// Announces the upstreams of this host.
@@ -105,12 +129,12 @@
     pub fn believe(&self, d: &Daemon, host: HostKey, health: Health) {
         let changed = {
             let mut inner = lock(&self.inner);
-            let count = inner.table.live(&self.domain).len();
+            let count = inner.table.live(self.scope()).len();
             let record = inner.table.believe(host, health, d.clock.now());
             record.map(|record| inner.queue.push(record, count)).is_some()
         };
         if changed {
-            d.services.sync(d);
+            self.changed(d);
         }
     }
 
@@ -123,7 +147,7 @@
     pub fn tick(&self, now: Instant, random: u64) -> Vec<Probe> {
         let mut inner = lock(&self.inner);
         inner.table.sweep(now);
-        let others = inner.others(self.me, &self.domain);
+        let others = inner.others(self.me, self.scope());
         inner.detector.tick(now, &others, random)
     }
 
@@ -161,7 +185,14 @@
 
     /// Returns the live members of the own failure domain but this one.
     pub fn others(&self) -> Vec<HostKey> {
-        lock(&self.inner).others(self.me, &self.domain)
+        lock(&self.inner).others(self.me, self.scope())
+    }
+
+    /// Returns the daemons that are believed dead.
+    pub fn lost(&self) -> Vec<HostKey> {
+        let inner = lock(&self.inner);
+        let dead = inner.table.iter().filter(|record| record.health == Health::Dead);
+        dead.map(|record| record.host).collect()
     }
 
     /// Returns live daemons of other failure domains.
@@ -222,7 +253,7 @@
         true
     }
 
-    fn others(&self, me: HostKey, domain: &str) -> Vec<HostKey> {
-        self.table.live(domain).into_iter().filter(|host| *host != me).collect()
+    fn others(&self, me: HostKey, scope: Option<&str>) -> Vec<HostKey> {
+        self.table.live(scope).into_iter().filter(|host| *host != me).collect()
     }
 }
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -1,6 +1,7 @@
 //! The port for other daemons: control requests and forwarded calls.
 
-use super::{Daemon, catch_up, exit, gateway, headers, reader, rollout, stage, status};
+use super::request::{exit, headers};
+use super::{Daemon, catch_up, gateway, reader, rollout, stage, status};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::witness::Testimony;
 use cicadashift_http::body::{self, Body, BodyError};
@@ -122,6 +123,10 @@
         }
         Ask::Head => Response::Version(reader::fresh_head(d).await),
         Ask::Current => Response::Version(d.versions.active()),
+        Ask::Document => {
+            let document = d.versions.document();
+            Response::Document(document.map(|(version, text)| (version, text.to_vec().into())))
+        }
         Ask::Status => Response::Status(status::own(d).to_string()),
         Ask::Record { rows } => {
             d.record.add(rows);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,41 +5,51 @@
 //! of upstreams (itself sharded by service) and [`gates`] for admission. No lock
 //! is held across an await, and no two at once unless the order here is kept.
 //!
-//! The request path reads from top to bottom in [`entry`] and [`exit`], the
-//! configuration path in [`reader`], [`rollout`] and [`stage`].
+//! The request path is in [`request`]. The configuration path is [`source`]
+//! where the configuration lies whole under one key of the store, and
+//! [`reader`], [`rollout`] and [`stage`] where it is made of objects.
 
 pub mod catch_up;
-pub mod entry;
-pub mod exit;
+pub mod discovery;
 pub mod garbage;
 pub mod gates;
 pub mod gateway;
 pub mod gossip;
-pub mod headers;
 pub mod members;
 pub mod mesh;
-pub mod payload;
 pub mod reader;
+pub mod readiness;
 pub mod record;
+pub mod request;
 pub mod rollout;
 pub mod services;
+pub mod source;
 pub mod stage;
 pub mod status;
-pub mod tracked;
+pub mod tunable;
 pub mod upstreams;
 pub mod versions;
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::platform::etcd::Etcd;
-use crate::settings::Settings;
+use crate::settings::{InterfaceKind, Settings};
+use crate::store::{Client, keys};
 use cicadashift_core::ids::{HostKey, Incarnation};
+use cicadashift_edge::interface::{Dialect, Document, Interface, Malformed};
+use cicadashift_http::body::Body;
 use cicadashift_http::client::Pool;
-use cicadashift_http::server::{self, Stopped};
+use cicadashift_http::hyper::body::Incoming;
+use cicadashift_http::hyper::header::HeaderName;
+use cicadashift_http::hyper::{Request, Response};
+use cicadashift_http::server::{self, Idle, Stopped};
 use cicadashift_http::{exec, server::Limits};
+use cicadashift_platform::Platform as Hosted;
+use cicadashift_wire::call;
 use cicadashift_wire::seal::MeshKey;
 use eyre::WrapErr;
 use smol::Async;
+use smol::channel::Receiver;
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -47,13 +57,20 @@
 
 /// Connections kept to one other daemon, for calls and control together.
 const MESH_CONNECTIONS: usize = 256;
+/// How long a connection between daemons may stay idle; longer than the other
+/// side keeps one, so that the side which sends closes it.
+const MESH_IDLE: Duration = Duration::from_secs(10);
+/// Connections held at once by a port for a few askers.
+const SMALL_CONNECTIONS: usize = 32;
 /// Step in which a stopping daemon looks whether calls are left.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
 /// Everything one daemon shares between its tasks.
 pub struct Daemon {
-    /// Its settings.
+    /// Its settings, as they were at its start.
     pub settings: Settings,
+    /// The part of its settings that may change while it runs.
+    pub tunable: tunable::Tunable,
     /// Its key.
     pub me: HostKey,
     /// This life's number.
@@ -62,8 +79,18 @@
     pub clock: Arc<dyn Clock>,
     /// Proof of belonging to the mesh.
     pub key: MeshKey,
-    /// The platform.
-    pub platform: Etcd,
+    /// The store.
+    pub platform: Client,
+    /// Names of the headers that callers and upstreams use.
+    pub dialect: Dialect,
+    /// The platform's way of speaking, where it is not the product's own.
+    pub hosted: Option<Hosted>,
+    /// How long callers' connections may stay idle.
+    pub caller_idle: Idle,
+    /// Whether the entries of other daemons were read at least once.
+    pub joined: AtomicBool,
+    /// Whether a configuration is being fetched from a member.
+    pub learning: AtomicBool,
     /// Connections to other daemons.
     pub mesh_pool: Pool,
     /// Counters and histograms.
@@ -105,10 +132,17 @@
 
 /// Runs a daemon until `stop`, then stops it without cutting a call.
 ///
+/// `changes` brings settings that were changed meanwhile and checked.
+///
 /// # Errors
 ///
 /// Returns what kept it from starting, such as a port in use.
-pub async fn run(settings: Settings, clock: Arc<dyn Clock>, stop: Stopped) -> eyre::Result<()> {
+pub async fn run(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    stop: Stopped,
+    changes: Receiver<Settings>,
+) -> eyre::Result<()> {
     let callers = listen("callers", settings.callers)?;
     let upstreams = listen("upstreams", settings.upstreams)?;
     let mesh = listen("mesh", settings.mesh)?;
@@ -129,53 +163,84 @@
     );
     let limits = &d.settings.limits;
     let head_time = Duration::from_millis(limits.head_ms);
-    let base = Limits { connections: 0, head_bytes: limits.head_bytes, head_time };
-    let caller_limits = Limits { connections: limits.caller_connections, ..base };
-    let mesh_limits = Limits { connections: limits.mesh_connections, ..base };
+    let base = Limits {
+        connections: 0,
+        head_bytes: limits.head_bytes,
+        head_time,
+        idle: d.caller_idle.clone(),
+    };
+    let caller_limits = Limits { connections: limits.caller_connections, ..base.clone() };
+    let mesh_limits =
+        Limits { connections: limits.mesh_connections, idle: Idle::new(MESH_IDLE), ..base.clone() };
     let (calls_stop, calls_stopped) = server::stop_pair();
     let (mesh_stop, mesh_stopped) = server::stop_pair();
     let (x, y, z) = (d.clone(), d.clone(), d.clone());
-    let serving_calls =
-        exec::spawn(server::serve(callers, caller_limits, calls_stopped, move |peer, req| {
-            entry::handle(x.clone(), peer, req)
-        }));
+    let serving_calls = exec::spawn(server::serve(
+        callers,
+        caller_limits.clone(),
+        calls_stopped,
+        move |peer, req| request::entry::handle(x.clone(), peer, req),
+    ));
     let local = exec::spawn(server::serve(
         upstreams,
-        caller_limits,
+        caller_limits.clone(),
         mesh_stopped.clone(),
         move |_, req| upstreams::handle(y.clone(), req),
     ));
     let serving_mesh =
-        exec::spawn(server::serve(mesh, mesh_limits, mesh_stopped, move |_, req| {
+        exec::spawn(server::serve(mesh, mesh_limits, mesh_stopped.clone(), move |_, req| {
             mesh::handle(z.clone(), req)
         }));
-    let background = [
+    let told = [
+        serve_small(&d, "ready", d.settings.ready, &mesh_stopped, readiness::handle)?,
+        serve_small(
+            &d,
+            "metrics_text",
+            d.settings.metrics_text,
+            &mesh_stopped,
+            readiness::metrics,
+        )?,
+    ];
+    let mut background = vec![
         exec::spawn(gossip::run(d.clone())),
         exec::spawn(gossip::receive(d.clone())),
-        exec::spawn(catch_up::run(d.clone())),
-        exec::spawn(reader::run(d.clone())),
-        exec::spawn(gateway::run(d.clone())),
         exec::spawn(gates::run(d.clone())),
-        exec::spawn(record::run(d.clone())),
-        exec::spawn(garbage::run(d.clone())),
+        exec::spawn(tunable::run(d.clone(), changes)),
     ];
+    match d.settings.interface {
+        InterfaceKind::Own => background.extend([
+            exec::spawn(catch_up::run(d.clone())),
+            exec::spawn(reader::run(d.clone())),
+            exec::spawn(gateway::run(d.clone())),
+            exec::spawn(record::run(d.clone())),
+            exec::spawn(garbage::run(d.clone())),
+        ]),
+        InterfaceKind::Platform => background
+            .extend([exec::spawn(source::run(d.clone())), exec::spawn(discovery::run(d.clone()))]),
+    }
     stop.wait().await;
     log::info!("stopping: announcing");
     d.leave().await;
     drop(calls_stop);
-    let finish = Duration::from_millis(d.settings.limits.finish_ms);
+    let finish = d.tunable.get().finish;
     if exec::timeout(finish, serving_calls).await.is_none() {
         log::warn!("stopping: calls of callers are still in progress after {finish:?}");
     }
     d.wait_for_calls(finish).await;
-    record::flush(&d).await;
-    reader::release(&d).await;
+    match d.settings.interface {
+        InterfaceKind::Own => {
+            record::flush(&d).await;
+            reader::release(&d).await;
+        }
+        InterfaceKind::Platform => discovery::leave(&d).await,
+    }
     for task in background {
         task.cancel().await;
     }
     drop(mesh_stop);
     let last = Duration::from_secs(1);
     let _all_done = exec::timeout(last, async { (serving_mesh.await, local.await) }).await;
+    drop(told);
     log::info!("stopped");
     Ok(())
 }
@@ -189,11 +254,20 @@
     ) -> eyre::Result<Daemon> {
         let me = HostKey::of(&settings.host);
         let life = clock.wall_ms();
+        let hosted = (settings.interface == InterfaceKind::Platform).then(Hosted::new);
         Ok(Daemon {
             me,
             life,
             key: MeshKey::new(&settings.mesh_key),
-            platform: Etcd::new(settings.platform.clone()),
+            platform: match settings.interface {
+                InterfaceKind::Own => Client::etcd(settings.platform.clone()),
+                InterfaceKind::Platform => Client::hosted(&settings.platform),
+            },
+            dialect: hosted.as_ref().map_or_else(own_dialect, |hosted| hosted.dialect().clone()),
+            hosted,
+            caller_idle: Idle::new(Duration::from_millis(settings.limits.head_ms)),
+            joined: AtomicBool::new(false),
+            learning: AtomicBool::new(false),
             mesh_pool: Pool::new(MESH_CONNECTIONS),
             metrics: Metrics::new(settings.metrics)?,
             versions: versions::Versions::new(&settings, me, life, clock.clone()),
@@ -207,11 +281,29 @@
             control_bytes: AtomicU64::new(0),
             calls: AtomicU64::new(0),
             udp,
+            tunable: tunable::Tunable::new(&settings),
             settings,
             clock,
         })
     }
 
+    /// Returns the key under which the newest configuration lies.
+    pub fn config_key(&self) -> &'static str {
+        self.hosted.as_ref().map_or(keys::HEAD, |hosted| hosted.config_key())
+    }
+
+    /// Decodes a configuration in the platform's form.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    pub fn decode_document(&self, buf: &[u8]) -> Result<Document, Malformed> {
+        match &self.hosted {
+            Some(hosted) => hosted.document(buf),
+            None => Err(Malformed::Syntax("configurations are not whole here".to_string())),
+        }
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -228,7 +320,7 @@
         self.members.announce_leaving(self);
         gossip::flush(self).await;
         gateway::exchange_with_all(self).await;
-        smol::Timer::after(Duration::from_millis(self.settings.limits.leave_ms)).await;
+        smol::Timer::after(self.tunable.get().leave).await;
     }
 
     async fn wait_for_calls(&self, most: Duration) {
@@ -239,6 +331,41 @@
     }
 }
 
+/// Serves a port with few and short requests, if it is set.
+fn serve_small<F, Fut>(
+    d: &Arc<Daemon>,
+    name: &str,
+    addr: Option<SocketAddr>,
+    stopped: &Stopped,
+    handler: F,
+) -> eyre::Result<Option<smol::Task<()>>>
+where
+    F: Fn(Arc<Daemon>, Request<Incoming>) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let Some(addr) = addr else { return Ok(None) };
+    let listener = listen(name, addr)?;
+    let d = d.clone();
+    let limits = Limits { connections: SMALL_CONNECTIONS, ..Limits::default() };
+    let serving =
+        server::serve(listener, limits, stopped.clone(), move |_, req| handler(d.clone(), req));
+    Ok(Some(exec::spawn(serving)))
+}
+
+/// Names of headers in the product's own form.
+fn own_dialect() -> Dialect {
+    Dialect {
+        request_id: HeaderName::from_static(call::REQUEST_ID),
+        deadline_ms: HeaderName::from_static(call::DEADLINE),
+        caller_service: None,
+        expected_instance: None,
+        not_run: HeaderName::from_static(call::OUTCOME),
+        instance: None,
+        echoes_request_id: false,
+        fractional_retry_after: false,
+    }
+}
+
 fn listen(name: &str, addr: SocketAddr) -> eyre::Result<Async<TcpListener>> {
     Async::<TcpListener>::bind(addr).wrap_err_with(|| format!("cannot listen on {name} {addr}"))
 }
--- a/src/daemon/reader.rs
+++ b/src/daemon/reader.rs
@@ -8,7 +8,7 @@
 use super::rollout;
 use super::stage::Source;
 use super::{Daemon, lock};
-use crate::platform::{Change, Lease, Pair, Platform, PlatformError, Swap, Watch, keys};
+use crate::store::{Change, Lease, Pair, Platform, PlatformError, Swap, Watch, keys};
 use cicadashift_core::delivery::head::Head;
 use cicadashift_core::delivery::node::Event;
 use cicadashift_core::ids::{HostKey, ObjectHash, Version};
--- a/src/daemon/record.rs
+++ b/src/daemon/record.rs
@@ -6,7 +6,7 @@
 //! there once.
 
 use super::{Daemon, lock, mesh};
-use crate::platform::{Platform, keys};
+use crate::store::{Platform, keys};
 use cicadashift_core::delivery::rollout::Rollout;
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_wire::rpc::{Fate, RecordRow, Request as Ask, VersionRef};
--- /dev/null
+++ b/src/daemon/request/attempts.rs
@@ -0,0 +1,353 @@
+//! Choosing an upstream, sending the call there, and deciding what follows.
+
+use super::answer::{self, Answer, Got};
+use super::entry::{refuse, unknown};
+use super::payload::Payload;
+use super::story::{Choose, Missed};
+use super::tracked::Tracked;
+use super::{exit, headers};
+use crate::daemon::Daemon;
+use crate::daemon::services::{Flight, Target};
+use cicadashift_core::config::Route;
+use cicadashift_core::request::MIN_RETRY_AFTER;
+use cicadashift_core::request::choose::{Outcome, Reason, UpstreamKey};
+use cicadashift_core::request::retry::{Attempt, Call, Verdict};
+use cicadashift_http::body::Body;
+use cicadashift_http::client::{IDLE_TIME, SendError};
+use cicadashift_http::exec;
+use cicadashift_http::hyper::http::request::Parts;
+use cicadashift_http::hyper::{Request, Response};
+use cicadashift_wire::call::{self, Context};
+use cicadashift_wire::rpc;
+use http_body_util::BodyExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What the exit daemon has more than the deadline to say what became of a call:
+/// a way there and back between failure domains, and its own processing.
+const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+
+/// A matched call on its way.
+pub struct Work {
+    /// Names the call.
+    pub request_id: String,
+    /// Version of the configuration that routed it.
+    pub version: u64,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that serves it: the route's, or that of the weighted part.
+    pub service: String,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Names the caller for fairness.
+    pub caller: u64,
+    /// When its head had been read.
+    pub started: Instant,
+    /// When it is given up.
+    pub deadline: Instant,
+    /// Until when an answer is worth most.
+    pub objective: Instant,
+    /// Upstreams that it may be sent to.
+    pub allowed: u32,
+    /// Its head.
+    pub head: Parts,
+}
+
+/// Returns the service that serves a call, by the weights of the route's parts.
+///
+/// A call stays in its part: what does not fit there is refused, not moved, so
+/// that the shares of those that run are the shares that the operator set.
+pub fn pick_part(route: &Route, random: u64) -> &str {
+    let total: u64 = route.parts.iter().map(|part| u64::from(part.weight)).sum();
+    if total == 0 {
+        return &route.service;
+    }
+    let mut left = random % total;
+    for part in &route.parts {
+        let weight = u64::from(part.weight);
+        if left < weight {
+            return &part.service;
+        }
+        left -= weight;
+    }
+    &route.service
+}
+
+/// What the attempts so far left behind.
+#[derive(Default)]
+struct SoFar {
+    tried: Vec<UpstreamKey>,
+    /// Attempts that reached an upstream or may have.
+    arrivals: u32,
+    last_refusal: Option<(&'static str, Duration)>,
+    may_have_run: bool,
+    /// A failure that an upstream answered, for the caller if nothing better
+    /// comes.
+    failure: Option<Answer>,
+}
+
+/// Sends the call until there is something to tell its caller.
+pub async fn run(d: &Arc<Daemon>, work: Work, mut payload: Payload) -> Response<Body> {
+    d.services.earn(d, &work.service);
+    let mut so_far = SoFar::default();
+    loop {
+        let now = d.clock.now();
+        if now >= work.deadline {
+            let (reason, wait) = so_far.last_refusal.unwrap_or(("too-late", MIN_RETRY_AFTER));
+            return give_up(d, &work, so_far, reason, wait);
+        }
+        let target = match d.services.choose(&work.service, now, &so_far.tried) {
+            Ok(target) => target,
+            Err(wait) => {
+                let (reason, wait) = so_far.last_refusal.unwrap_or(("no-upstream", wait));
+                return give_up(d, &work, so_far, reason, wait);
+            }
+        };
+        so_far.tried.push(target.choice.key);
+        log_choice(d, &work, &target, so_far.tried.len() as u32);
+        let (attempt, reason) = match attempt(d, &work, &target, &mut payload).await {
+            Got::Answer(answer) if !answer.is_failure() => return answer.into_response(),
+            Got::Answer(answer) => {
+                so_far.failure = Some(answer);
+                (Attempt::Unknown, "upstream-failed")
+            }
+            Got::None(attempt, reason) => (attempt, reason),
+        };
+        if let Attempt::NotRun { retry_after, .. } = attempt {
+            so_far.last_refusal = Some((reason, retry_after));
+        }
+        so_far.arrivals += u32::from(attempt.has_arrived());
+        let verdict = decide(d, &work, &payload, &so_far, attempt);
+        log_missed(d, &work, &target, attempt, reason, verdict, now);
+        match verdict {
+            Verdict::Again => d.metrics.incr("call.retried"),
+            Verdict::Refuse { retry_after } => return refuse(d, &work, reason, retry_after),
+            Verdict::Answer | Verdict::Unknown => {
+                return give_up_unknown(d, &work, so_far, reason);
+            }
+        }
+        so_far.may_have_run |= attempt == Attempt::Unknown;
+    }
+}
+
+fn decide(d: &Daemon, work: &Work, payload: &Payload, so_far: &SoFar, attempt: Attempt) -> Verdict {
+    let call = Call {
+        repeatable: work.repeatable,
+        replayable: payload.is_left(),
+        attempts: so_far.tried.len() as u32,
+        arrivals: so_far.arrivals,
+        allowed: work.allowed,
+        may_have_run: so_far.may_have_run,
+    };
+    let left = work.deadline.saturating_duration_since(d.clock.now());
+    let random = fastrand::u64(..);
+    let verdict = d
+        .services
+        .with(&work.service, |service| call.after(attempt, left, &mut service.budget, random));
+    verdict.unwrap_or(Verdict::Unknown)
+}
+
+async fn attempt(d: &Arc<Daemon>, work: &Work, target: &Target, payload: &mut Payload) -> Got {
+    let flight = Flight::new(d, &work.service, target.choice.key);
+    let started = d.clock.now();
+    let left = work.deadline.saturating_duration_since(started);
+    let Some(to) = d.members.address(target.host) else {
+        flight.end(Outcome::Unreached);
+        return Got::None(Attempt::unreached(), "unreached");
+    };
+    let Some(body) = payload.take() else {
+        return Got::None(Attempt::Unknown, "body-spent");
+    };
+    let cx = context(d, work, target, left, started);
+    let req = request(work, body);
+    let sent = match target.host == d.me {
+        true => exec::timeout(left + ANSWER_MARGIN, here(d, cx, req)).await,
+        false => exec::timeout(left + ANSWER_MARGIN, there(d, to, cx, req)).await,
+    };
+    let res = match sent {
+        Some(Ok(res)) => res,
+        Some(Err(err)) => {
+            let unsent = err.is_unsent();
+            flight.end(if unsent { Outcome::Unreached } else { Outcome::Failed });
+            log::debug!("call {}: exit daemon at {to}: {err}", work.request_id);
+            return match unsent {
+                true => Got::None(Attempt::unreached(), "unreached"),
+                false => Got::None(Attempt::Unknown, "exit-broke"),
+            };
+        }
+        None => {
+            flight.end(Outcome::Failed);
+            d.mesh_pool.forget(to);
+            return Got::None(Attempt::Unknown, "deadline");
+        }
+    };
+    read_answer(d, work, res, flight, started).await
+}
+
+/// Sends to the exit side of this daemon.
+async fn here(
+    d: &Arc<Daemon>,
+    cx: Context,
+    req: Request<Body>,
+) -> Result<Response<Body>, SendError> {
+    Ok(exit::handle(d.clone(), cx, req).await)
+}
+
+/// Sends to the daemon on the upstream's host.
+async fn there(
+    d: &Arc<Daemon>,
+    to: SocketAddr,
+    cx: Context,
+    mut req: Request<Body>,
+) -> Result<Response<Body>, SendError> {
+    headers::set(req.headers_mut(), call::CONTEXT, &cx.to_header());
+    headers::set(req.headers_mut(), rpc::TOKEN_HEADER, d.key.token());
+    let (res, connection) = d.mesh_pool.send(to, req).await?;
+    let d = d.clone();
+    let keep = move |whole: bool| {
+        if whole {
+            connection.keep(&d.mesh_pool, IDLE_TIME);
+        }
+    };
+    Ok(res.map(|incoming| Tracked::new(incoming, keep).boxed_unsync()))
+}
+
+async fn read_answer(
+    d: &Arc<Daemon>,
+    work: &Work,
+    res: Response<Body>,
+    flight: Flight,
+    started: Instant,
+) -> Got {
+    let (head, body) = res.into_parts();
+    if let Some((attempt, reason)) = answer::refusal(&head) {
+        flight.end(match attempt {
+            Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
+            Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after },
+            Attempt::Unknown | Attempt::Answered => Outcome::Failed,
+        });
+        return Got::None(attempt, reason);
+    }
+    let load = headers::number(&head.headers, call::LOAD).map(|load| load as u16);
+    let left = work.deadline.saturating_duration_since(d.clock.now()) + ANSWER_MARGIN;
+    match exec::timeout(left, answer::read(head, body)).await {
+        Some(Ok(answer)) => {
+            let took = d.clock.now().saturating_duration_since(started);
+            flight.end(match answer.is_failure() {
+                true => Outcome::Failed,
+                false => Outcome::Answered { took, load },
+            });
+            Got::Answer(answer)
+        }
+        Some(Err(why)) => {
+            flight.end(Outcome::Failed);
+            Got::None(Attempt::Unknown, why)
+        }
+        None => {
+            flight.end(Outcome::Failed);
+            Got::None(Attempt::Unknown, "deadline")
+        }
+    }
+}
+
+fn context(d: &Daemon, work: &Work, target: &Target, left: Duration, now: Instant) -> Context {
+    let ms = |time: Duration| time.as_millis().min(u128::from(u32::MAX)) as u32;
+    Context {
+        request_id: work.request_id.clone(),
+        instance: target.instance.clone(),
+        deadline_ms: ms(left),
+        objective_ms: ms(work.objective.saturating_duration_since(now)),
+        priority: work.route.priority,
+        caller: work.caller,
+        caller_service: d.settings.services.first().cloned().unwrap_or_default(),
+        // What this call may still use is shared by all calls below it, so that
+        // retries at nine levels add up instead of multiplying.
+        attempts: work.allowed.saturating_sub(1).max(1),
+        version: work.version,
+    }
+}
+
+fn request(work: &Work, body: Body) -> Request<Body> {
+    let mut req = Request::new(body);
+    *req.method_mut() = work.head.method.clone();
+    *req.uri_mut() = work.head.uri.clone();
+    *req.headers_mut() = work.head.headers.clone();
+    req
+}
+
+/// Ends a call that cannot be tried again; what an earlier attempt left open
+/// stays open.
+fn give_up(
+    d: &Daemon,
+    work: &Work,
+    so_far: SoFar,
+    reason: &str,
+    retry_after: Duration,
+) -> Response<Body> {
+    match so_far.may_have_run {
+        true => give_up_unknown(d, work, so_far, reason),
+        false => refuse(d, work, reason, retry_after),
+    }
+}
+
+fn give_up_unknown(d: &Daemon, work: &Work, so_far: SoFar, reason: &str) -> Response<Body> {
+    match so_far.failure {
+        Some(answer) => answer.into_response(),
+        None => unknown(d, work, reason),
+    }
+}
+
+fn log_choice(d: &Daemon, work: &Work, target: &Target, attempt: u32) {
+    let why = match target.choice.reason {
+        Reason::Near => "near",
+        Reason::Spill => "spill",
+        Reason::NoneNear => "none-near",
+        Reason::LastResort => "last-resort",
+    };
+    let left = work.deadline.saturating_duration_since(d.clock.now());
+    crate::logging::ordinary(
+        attempt == 1,
+        &Choose {
+            kind: "choose",
+            request: &work.request_id,
+            version: work.version,
+            service: &work.service,
+            upstream: &target.instance,
+            why,
+            attempt,
+            known: target.known,
+            left_ms: left.as_millis() as u64,
+        },
+    );
+}
+
+fn log_missed(
+    d: &Daemon,
+    work: &Work,
+    target: &Target,
+    attempt: Attempt,
+    why: &str,
+    verdict: Verdict,
+    began: Instant,
+) {
+    let outcome = match attempt {
+        Attempt::Answered => "answered",
+        Attempt::NotRun { .. } => "not-run",
+        Attempt::Unknown => "unknown",
+    };
+    let next = match verdict {
+        Verdict::Again => "again",
+        Verdict::Refuse { .. } => "refuse",
+        Verdict::Answer | Verdict::Unknown => "give-up",
+    };
+    crate::logging::decision(&Missed {
+        kind: "missed",
+        request: &work.request_id,
+        upstream: &target.instance,
+        why,
+        outcome,
+        took_ms: d.clock.now().saturating_duration_since(began).as_millis() as u64,
+        next,
+    });
+}
--- /dev/null
+++ b/src/daemon/request/entry.rs
@@ -0,0 +1,206 @@
+//! The entry side of a call: match, check, hold the body.
+
+use super::attempts::{self, Work};
+use super::payload::hold;
+use super::story::Refuse;
+use super::tracked::Counted;
+use super::{headers, story};
+use crate::daemon::Daemon;
+use cicadashift_core::config::Route;
+use cicadashift_core::config::compile::Table;
+use cicadashift_core::request::retry::MAX_ATTEMPTS;
+use cicadashift_core::request::spread;
+use cicadashift_http::body::{self, Body, BodyError};
+use cicadashift_http::exec;
+use cicadashift_http::hyper::body::{Body as _, Incoming};
+use cicadashift_http::hyper::http::request::Parts;
+use cicadashift_http::hyper::{Request, Response, StatusCode, header};
+use cicadashift_wire::call;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time to come back given by a daemon that has no configuration yet; a start
+/// takes about this long.
+const NO_CONFIGURATION_WAIT: Duration = Duration::from_millis(400);
+/// How long ago the store must have confirmed the configuration for a request
+/// without a route to be told so. Until then the route may be newer than what
+/// this daemon has, so the request is refused as not run.
+const SURE_FOR: Duration = Duration::from_secs(5);
+
+/// Answers one caller's request.
+pub async fn handle(d: Arc<Daemon>, peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+    let counted = Counted::new(&d);
+    let started = d.clock.now();
+    let mut res = serve(&d, peer, req, started).await;
+    d.metrics.time("call.time", d.clock.now().saturating_duration_since(started));
+    if d.is_leaving() {
+        // The connection ends with this answer, so that the caller does not
+        // send the next request into a socket that is about to close.
+        headers::set(res.headers_mut(), "connection", "close");
+    }
+    res.map(|body| body::tied(body, counted))
+}
+
+async fn serve(
+    d: &Arc<Daemon>,
+    peer: SocketAddr,
+    req: Request<Incoming>,
+    now: Instant,
+) -> Response<Body> {
+    let (mut head, incoming) = req.into_parts();
+    let request_id = request_id(d, &head);
+    let running = d.versions.running();
+    let version = running.table.version;
+    if version == 0 {
+        let wait = spread(NO_CONFIGURATION_WAIT, fastrand::u64(..));
+        return refuse_unrouted(d, &request_id, version, "no-configuration", wait);
+    }
+    let Some(route) = find_route(&running.table, &head) else {
+        return no_route(d, &request_id, version, now);
+    };
+    if incoming.size_hint().lower() > route.max_body {
+        return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the route's limit\n");
+    }
+    let asked = headers::number(&head.headers, d.dialect.deadline_ms.as_str());
+    let time = asked.map_or(route.deadline(), |ms| Duration::from_millis(ms).min(route.deadline()));
+    let left = headers::number(&head.headers, call::ATTEMPTS);
+    let most = route.max_attempts.unwrap_or(MAX_ATTEMPTS);
+    let allowed = left.map_or(most, |left| left.min(u64::from(most)) as u32);
+    let caller = caller_key(&head, peer);
+    headers::strip_ours(&mut head.headers);
+    headers::strip_hop_by_hop(&mut head.headers);
+    let payload = match exec::timeout(time, hold(incoming, route.max_body)).await {
+        Some(Ok(payload)) => payload,
+        Some(Err(BodyError::TooLong)) => {
+            return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the limit\n");
+        }
+        Some(Err(_)) => return headers::plain(StatusCode::BAD_REQUEST, "body is not whole\n"),
+        None => return headers::plain(StatusCode::REQUEST_TIMEOUT, "body came too slowly\n"),
+    };
+    let service = attempts::pick_part(&route, fastrand::u64(..)).to_string();
+    let repeatable = route.may_repeat(head.method.as_str());
+    let objective = now + route.objective();
+    let started = now;
+    let deadline = now + time;
+    let work = Work {
+        request_id,
+        version,
+        route,
+        service,
+        repeatable,
+        caller,
+        started,
+        deadline,
+        objective,
+        allowed,
+        head,
+    };
+    attempts::run(d, work, payload).await
+}
+
+/// Tells that there is no route, if that is certain.
+///
+/// Failure: a daemon that has not heard of a new version meets a request for a
+/// route that it adds. Symptom: the caller is told that the route does not
+/// exist and never asks again. Where the store has not confirmed the version
+/// lately, the request is refused as not run instead.
+fn no_route(d: &Daemon, request: &str, version: u64, now: Instant) -> Response<Body> {
+    if d.hosted.is_some() && !d.versions.is_confirmed_within(now, SURE_FOR) {
+        let wait = spread(NO_CONFIGURATION_WAIT, fastrand::u64(..));
+        return refuse_unrouted(d, request, version, "no-route-unconfirmed", wait);
+    }
+    d.metrics.incr("call.no_route");
+    let status = StatusCode::NOT_FOUND;
+    log_unrouted(d, request, version, "no-route", status, Duration::ZERO);
+    headers::plain(status, "no route for this request\n")
+}
+
+fn refuse_unrouted(
+    d: &Daemon,
+    request: &str,
+    version: u64,
+    why: &str,
+    wait: Duration,
+) -> Response<Body> {
+    d.metrics.incr("call.refused");
+    log_unrouted(d, request, version, why, StatusCode::SERVICE_UNAVAILABLE, wait);
+    headers::not_run(why, wait, d.dialect.fractional_retry_after)
+}
+
+fn log_unrouted(
+    d: &Daemon,
+    request: &str,
+    version: u64,
+    why: &str,
+    status: StatusCode,
+    wait: Duration,
+) {
+    crate::logging::decision(&Refuse {
+        kind: "refuse",
+        request,
+        version,
+        service: "",
+        why,
+        status: status.as_u16(),
+        took_ms: 0,
+        retry_after_ms: wait.as_millis() as u64,
+        config_age_ms: d.versions.confirmed_age_ms(d.clock.now()),
+    });
+}
+
+fn find_route(table: &Table, head: &Parts) -> Option<Arc<Route>> {
+    let host = head.uri.host().or_else(|| headers::text(&head.headers, header::HOST.as_str()));
+    let key = table.find(host, head.uri.path(), head.method.as_str())?;
+    table.route(key).cloned()
+}
+
+fn request_id(d: &Daemon, head: &Parts) -> String {
+    headers::text(&head.headers, d.dialect.request_id.as_str())
+        .filter(|id| (1..=128).contains(&id.len()))
+        .map_or_else(|| format!("{:016x}", fastrand::u64(..)), str::to_string)
+}
+
+/// Names the caller for fairness: as it names itself, or by its address.
+fn caller_key(head: &Parts, peer: SocketAddr) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    match headers::text(&head.headers, call::CALLER) {
+        Some(name) => name.hash(&mut hasher),
+        None => peer.ip().hash(&mut hasher),
+    }
+    hasher.finish()
+}
+
+/// Logs and makes the answer that a routed call did not run.
+pub fn refuse(d: &Daemon, work: &Work, why: &str, wait: Duration) -> Response<Body> {
+    d.metrics.incr("call.refused");
+    log_end(d, work, why, StatusCode::SERVICE_UNAVAILABLE, wait);
+    headers::not_run(why, wait, d.dialect.fractional_retry_after)
+}
+
+/// Logs and makes the answer that a routed call may have run.
+pub fn unknown(d: &Daemon, work: &Work, why: &str) -> Response<Body> {
+    d.metrics.incr("call.unknown");
+    let status = match why {
+        "deadline" | "too-late" => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    log_end(d, work, why, status, Duration::ZERO);
+    headers::unknown(status, why)
+}
+
+fn log_end(d: &Daemon, work: &Work, why: &str, status: StatusCode, wait: Duration) {
+    let now = d.clock.now();
+    crate::logging::decision(&story::Refuse {
+        kind: "refuse",
+        request: &work.request_id,
+        version: work.version,
+        service: &work.service,
+        why,
+        status: status.as_u16(),
+        took_ms: now.saturating_duration_since(work.started).as_millis() as u64,
+        retry_after_ms: wait.as_millis() as u64,
+        config_age_ms: d.versions.confirmed_age_ms(now),
+    });
+}
--- /dev/null
+++ b/src/daemon/request/exit.rs
@@ -0,0 +1,253 @@
+//! The exit side of a call: admit, forward to the upstream on this host, answer.
+
+use super::headers;
+use super::story::Admit;
+use super::tracked::{Counted, Tracked};
+use crate::daemon::Daemon;
+use crate::daemon::gates::{Local, Pass};
+use cicadashift_core::request::gate::{Arrival, CallerKey, End, Refusal};
+use cicadashift_http::body::Body;
+use cicadashift_http::client::{Connection, IDLE_TIME};
+use cicadashift_http::exec;
+use cicadashift_http::hyper::body::Incoming;
+use cicadashift_http::hyper::header::HeaderMap;
+use cicadashift_http::hyper::{Request, Response, StatusCode};
+use cicadashift_wire::call::{self, Context};
+use http_body_util::BodyExt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time to come back after the upstream could not be reached: its next start or
+/// report takes at least as long.
+const UNREACHED_WAIT: Duration = Duration::from_millis(50);
+/// Share of the time for which an upstream says it keeps idle connections that
+/// one is used again. The rest is for what is under way.
+const KEEP_SHARE: f64 = 0.7;
+
+/// Answers one forwarded call.
+pub async fn handle(d: Arc<Daemon>, cx: Context, req: Request<Body>) -> Response<Body> {
+    let _counted = Counted::new(&d);
+    let arrived = d.clock.now();
+    let deadline = arrived + Duration::from_millis(u64::from(cx.deadline_ms));
+    let Some(local) = d.gates.get(&cx.instance) else {
+        return refuse(&d, &cx, Refusal::Gone, arrived, None);
+    };
+    let objective = arrived + Duration::from_millis(u64::from(cx.objective_ms));
+    let arrival =
+        Arrival { deadline, objective, priority: cx.priority, caller: CallerKey(cx.caller) };
+    let pass = match local.admit(arrival, arrived).await {
+        Ok(pass) => pass,
+        Err(refusal) => return refuse(&d, &cx, refusal, arrived, Some(&local)),
+    };
+    let now = d.clock.now();
+    // Failure: the process is frozen between admission and here. Symptom: work
+    // whose answer nobody waits for any more takes a slot. The clock is read
+    // again at the last moment before the upstream is involved.
+    if now >= deadline {
+        return refuse(&d, &cx, Refusal::TooLate, arrived, Some(&local));
+    }
+    log_admit(&d, &cx, "run", arrived, Some(&local));
+    forward(d, cx, req, local, pass, deadline).await
+}
+
+async fn forward(
+    d: Arc<Daemon>,
+    cx: Context,
+    mut req: Request<Body>,
+    local: Arc<Local>,
+    pass: Pass,
+    deadline: Instant,
+) -> Response<Body> {
+    let started = d.clock.now();
+    let left = deadline - started;
+    set_upstream_headers(&d, &cx, req.headers_mut(), left);
+    let sent = exec::timeout(left, local.pool.send(local.address, req)).await;
+    let (res, connection) = match sent {
+        Some(Ok(answered)) => answered,
+        Some(Err(err)) if err.is_unsent() => {
+            local.unreached();
+            pass.end(End::Failed, d.clock.now());
+            return not_run(&d, &cx, "unreached", UNREACHED_WAIT, started, &local);
+        }
+        Some(Err(err)) => {
+            pass.end(End::Failed, d.clock.now());
+            log::warn!("call {}: upstream {}: {err}", cx.request_id, cx.instance);
+            return unknown(&d, &cx, StatusCode::BAD_GATEWAY, "upstream-broke", started, &local);
+        }
+        None => {
+            local.silent(&d);
+            pass.end(End::Failed, d.clock.now());
+            return unknown(&d, &cx, StatusCode::GATEWAY_TIMEOUT, "deadline", started, &local);
+        }
+    };
+    answer(&d, &cx, res, connection, local, pass, started)
+}
+
+fn set_upstream_headers(d: &Daemon, cx: &Context, head: &mut HeaderMap, left: Duration) {
+    let dialect = &d.dialect;
+    headers::strip_ours(head);
+    headers::insert(head, &dialect.request_id, &cx.request_id);
+    headers::insert(head, &dialect.deadline_ms, &left.as_millis().to_string());
+    if let Some(name) = &dialect.caller_service {
+        headers::insert(head, name, &cx.caller_service);
+    }
+    match &dialect.expected_instance {
+        Some(name) => headers::insert(head, name, &cx.instance),
+        None => headers::set(head, call::ATTEMPTS, &cx.attempts.to_string()),
+    }
+}
+
+/// Passes an answer on; the slot is given back when its body has ended.
+fn answer(
+    d: &Arc<Daemon>,
+    cx: &Context,
+    res: Response<Incoming>,
+    connection: Connection,
+    local: Arc<Local>,
+    pass: Pass,
+    started: Instant,
+) -> Response<Body> {
+    let (mut head, incoming) = res.into_parts();
+    // Failure: an upstream sends a second answer, or one to an earlier call, on
+    // a connection that is used again. Symptom: a caller gets the answer to
+    // somebody else's request. An answer without this call's id is not passed
+    // on, and its connection is closed with it.
+    if d.dialect.echoes_request_id && !is_own(d, cx, &head.headers) {
+        pass.end(End::Failed, d.clock.now());
+        d.metrics.incr("upstream.wrong_answer");
+        return unknown(d, cx, StatusCode::BAD_GATEWAY, "wrong-answer", started, &local);
+    }
+    if let Some(res) = refusal_of_upstream(d, cx, &head, &local) {
+        pass.end(End::Shed, d.clock.now());
+        keep_when_whole(incoming, connection, &local);
+        return res;
+    }
+    headers::strip_ours(&mut head.headers);
+    let idle = idle_time(&head.headers);
+    headers::strip_hop_by_hop(&mut head.headers);
+    let load = local.load();
+    headers::set(&mut head.headers, call::LOAD, &(load.running + load.queued).to_string());
+    let d = d.clone();
+    let whole = Tracked::new(incoming, move |whole| {
+        let now = d.clock.now();
+        let took = now.saturating_duration_since(started);
+        d.metrics.time("upstream.time", took);
+        pass.end(if whole { End::Answered(took) } else { End::Failed }, now);
+        if whole && let Some(idle) = idle {
+            connection.keep(&local.pool, idle);
+        }
+    });
+    Response::from_parts(head, whole.boxed_unsync())
+}
+
+fn is_own(d: &Daemon, cx: &Context, head: &HeaderMap) -> bool {
+    headers::text(head, d.dialect.request_id.as_str()) == Some(cx.request_id.as_str())
+}
+
+/// Returns the answer to the entry daemon where the upstream says that it did
+/// not run the call.
+fn refusal_of_upstream(
+    d: &Arc<Daemon>,
+    cx: &Context,
+    head: &cicadashift_http::hyper::http::response::Parts,
+    local: &Arc<Local>,
+) -> Option<Response<Body>> {
+    if headers::text(&head.headers, d.dialect.not_run.as_str())? == call::UNKNOWN {
+        return None;
+    }
+    let now = d.clock.now();
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        let other = d.dialect.instance.as_ref();
+        let other = other.and_then(|name| headers::text(&head.headers, name.as_str()));
+        log::warn!("upstream {} is another one now: {}", cx.instance, other.unwrap_or("unnamed"));
+        d.gates.misdirected(d, &cx.instance, other);
+        return Some(not_run(d, cx, "misdirected", UNREACHED_WAIT, now, local));
+    }
+    d.metrics.incr("upstream.shed");
+    Some(not_run(d, cx, "shed", local.load().mean, now, local))
+}
+
+/// Reads the rest of a refusal so that its connection can be used again.
+fn keep_when_whole(incoming: Incoming, connection: Connection, local: &Arc<Local>) {
+    let local = local.clone();
+    exec::spawn(async move {
+        if cicadashift_http::body::read(incoming, REFUSAL_BYTES).await.is_ok() {
+            connection.keep(&local.pool, IDLE_TIME);
+        }
+    })
+    .detach();
+}
+
+/// Most bytes of a refusal's body that are read to keep its connection.
+const REFUSAL_BYTES: usize = 4096;
+
+/// Returns for how long an upstream's connection may be used again; `None` where
+/// it is about to close it.
+fn idle_time(head: &HeaderMap) -> Option<Duration> {
+    let closes = headers::text(head, "connection").is_some_and(|value| value.contains("close"));
+    if closes {
+        return None;
+    }
+    let stated = headers::text(head, "keep-alive").and_then(|value| {
+        let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+        seconds.parse::<u64>().ok()
+    });
+    let time = stated.map_or(IDLE_TIME, Duration::from_secs);
+    Some(time.mul_f64(KEEP_SHARE))
+}
+
+fn refuse(
+    d: &Daemon,
+    cx: &Context,
+    refusal: Refusal,
+    arrived: Instant,
+    local: Option<&Arc<Local>>,
+) -> Response<Body> {
+    let reason = refusal.to_string();
+    log_admit(d, cx, &reason, arrived, local);
+    d.metrics.incr("exit.refused");
+    headers::not_run(&reason, refusal.retry_after(), false)
+}
+
+fn not_run(
+    d: &Daemon,
+    cx: &Context,
+    reason: &str,
+    wait: Duration,
+    started: Instant,
+    local: &Arc<Local>,
+) -> Response<Body> {
+    log_admit(d, cx, reason, started, Some(local));
+    headers::not_run(reason, wait, false)
+}
+
+fn unknown(
+    d: &Daemon,
+    cx: &Context,
+    status: StatusCode,
+    reason: &str,
+    started: Instant,
+    local: &Arc<Local>,
+) -> Response<Body> {
+    log_admit(d, cx, reason, started, Some(local));
+    headers::unknown(status, reason)
+}
+
+fn log_admit(d: &Daemon, cx: &Context, result: &str, since: Instant, local: Option<&Arc<Local>>) {
+    let load = local.map(|local| local.load()).unwrap_or_default();
+    let waited = d.clock.now().saturating_duration_since(since);
+    crate::logging::ordinary(
+        result == "run",
+        &Admit {
+            kind: "admit",
+            request: &cx.request_id,
+            version: cx.version,
+            upstream: &cx.instance,
+            result,
+            waited_ms: waited.as_secs_f64() * 1e3,
+            running: load.running,
+            queued: load.queued,
+            mean_ms: load.mean.as_secs_f64() * 1e3,
+        },
+    );
+}
--- a/src/daemon/headers.rs
+++ b/src/daemon/request/headers.rs
@@ -61,15 +61,27 @@
     }
 }
 
+/// Sets a header whose name is not known before the settings are.
+pub fn insert(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
 /// Makes the answer that a call did not run, and when to come back.
-pub fn not_run(reason: &str, retry_after: Duration) -> Response<Body> {
+///
+/// `fractional` tells whether callers take a `Retry-After` with a fraction.
+pub fn not_run(reason: &str, retry_after: Duration, fractional: bool) -> Response<Body> {
     let mut res = plain(StatusCode::SERVICE_UNAVAILABLE, &format!("not run: {reason}\n"));
     let headers = res.headers_mut();
     set(headers, call::OUTCOME, call::NOT_RUN);
     set(headers, call::REASON, reason);
     set(headers, call::RETRY_AFTER_MS, &retry_after.as_millis().to_string());
-    let seconds = retry_after.as_secs_f64().ceil().max(1.0) as u64;
-    set(headers, "retry-after", &seconds.to_string());
+    let seconds = match fractional {
+        true => format!("{:.3}", retry_after.as_secs_f64()),
+        false => format!("{}", retry_after.as_secs_f64().ceil().max(1.0) as u64),
+    };
+    set(headers, "retry-after", &seconds);
     res
 }
 
--- /dev/null
+++ b/src/daemon/request/mod.rs
@@ -0,0 +1,17 @@
+//! The request's way through the daemon, as a row of filters.
+//!
+//! [`entry`] takes a caller's request, finds its route and holds its body.
+//! [`attempts`] chooses an upstream and sends the request to the daemon on that
+//! upstream's host, as often as the route and the budget allow. There, [`exit`]
+//! admits it and sends it to the upstream. The answer comes back through
+//! [`answer`]. [`headers`], [`payload`] and [`tracked`] are the parts that all of
+//! them use, [`story`] the lines that the log gets.
+
+pub mod answer;
+pub mod attempts;
+pub mod entry;
+pub mod exit;
+pub mod headers;
+pub mod payload;
+pub mod story;
+pub mod tracked;
--- a/src/daemon/payload.rs
+++ b/src/daemon/request/payload.rs
@@ -1,8 +1,8 @@
-//! Bodies of requests, held to be sent again or streamed once.
+//! Bodies, held to be sent again or streamed once.
 
 use bytes::{Bytes, BytesMut};
 use cicadashift_http::body::{self, Body, BodyError};
-use cicadashift_http::hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use cicadashift_http::hyper::body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::{BodyExt, BodyStream, Limited, StreamBody};
 use smol::stream::StreamExt;
 use std::pin::Pin;
@@ -25,10 +25,15 @@
 ///
 /// Returns [`BodyError::TooLong`] beyond `most` bytes, and [`BodyError::Broken`]
 /// where the body did not arrive whole.
-pub async fn hold(mut incoming: Incoming, most: u64) -> Result<Payload, BodyError> {
+pub async fn hold<B>(mut incoming: B, most: u64) -> Result<Payload, BodyError>
+where
+    B: HttpBody<Data = Bytes> + Unpin + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let size = incoming.size_hint().exact();
     let mut held = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
-        let frame = frame.map_err(|err| BodyError::Broken(err.to_string()))?;
+        let frame = frame.map_err(|err| BodyError::Broken(err.into().to_string()))?;
         if let Ok(data) = frame.into_data() {
             held.extend_from_slice(&data);
         }
@@ -36,16 +41,19 @@
             return Err(BodyError::TooLong);
         }
         if held.len() > MAX_HELD {
-            let left = (most - held.len() as u64) as usize;
-            return Ok(Payload::Streamed(Some(streamed(held.freeze(), incoming, left))));
+            let left = usize::try_from(most - held.len() as u64).unwrap_or(usize::MAX);
+            return Ok(Payload::Streamed(Some(streamed(held.freeze(), incoming, size, left))));
         }
     }
     Ok(Payload::Held(held.freeze()))
 }
 
 /// Makes a body of what was read already and what is to come.
-fn streamed(begun: Bytes, rest: Incoming, most: usize) -> Body {
-    let size = rest.size_hint().exact().map(|rest| rest + begun.len() as u64);
+fn streamed<B>(begun: Bytes, rest: B, size: Option<u64>, most: usize) -> Body
+where
+    B: HttpBody<Data = Bytes> + Unpin + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let rest = Limited::new(rest, most).map_err(|err| BodyError::Broken(err.to_string()));
     let begun = smol::stream::once(Ok(Frame::data(begun)));
     let frames = begun.chain(BodyStream::new(rest));
--- a/src/daemon/tracked.rs
+++ b/src/daemon/request/tracked.rs
@@ -1,8 +1,8 @@
 //! Bodies that keep account of their call while they are sent.
 
-use super::Daemon;
+use crate::daemon::Daemon;
 use bytes::Bytes;
-use cicadashift_http::body::{Body, BodyError};
+use cicadashift_http::body::BodyError;
 use cicadashift_http::hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -93,37 +93,3 @@
         self.end(false);
     }
 }
-
-/// A body that keeps its call counted as in progress.
-pub struct KeepCounted {
-    body: Body,
-    _counted: Counted,
-}
-
-impl KeepCounted {
-    /// Ties a body to its call's count.
-    pub fn new(body: Body, counted: Counted) -> KeepCounted {
-        KeepCounted { body, _counted: counted }
-    }
-}
-
-impl HttpBody for KeepCounted {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> std::task::Poll<Option<Result<cicadashift_http::hyper::body::Frame<Bytes>, BodyError>>>
-    {
-        std::pin::Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -4,13 +4,17 @@
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::{Health, Record};
 use cicadashift_core::request::choose::{Choice, Known, Outcome, Picker, Policy, UpstreamKey};
-use cicadashift_core::request::retry::Budget;
+use cicadashift_core::request::retry::{Allowance, Budget};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const SHARDS: usize = 8;
+/// Share of the retries allowed that are made. The rest is for what a daemon
+/// does not see: calls that a repeated run makes again, and windows in which
+/// first attempts are fewer than when the retries were earned.
+const SAFE_SHARE: f64 = 0.5;
 
 /// One service's upstreams and retries.
 pub struct Service {
@@ -42,6 +46,8 @@
     pub host: HostKey,
     /// The instance's name.
     pub instance: String,
+    /// Upstreams of the service that take work.
+    pub known: usize,
 }
 
 impl Services {
@@ -70,7 +76,8 @@
             for name in new {
                 let mut picker = Picker::new(self.policy);
                 picker.sync(by_service.remove(&name).unwrap_or_default(), now);
-                shard.insert(name, Service { picker, budget: Budget::default() });
+                let budget = Budget::new(allowance(d));
+                shard.insert(name, Service { picker, budget });
             }
         }
     }
@@ -80,6 +87,12 @@
         lock(&self.shards[shard_of(name)]).get_mut(name).map(work)
     }
 
+    /// Records the first attempt of a call.
+    pub fn earn(&self, d: &Daemon, name: &str) {
+        let allowance = allowance(d);
+        self.with(name, |service| service.budget.earn(allowance));
+    }
+
     /// Chooses an upstream and counts the attempt as begun.
     ///
     /// # Errors
@@ -95,7 +108,8 @@
             let choice = service.picker.choose(now, fastrand::u64(..), tried)?;
             service.picker.started(choice.key);
             let known = service.picker.known(choice.key);
-            Ok(Target { choice, host: known.host, instance: known.instance.clone() })
+            let (host, instance) = (known.host, known.instance.clone());
+            Ok(Target { choice, host, instance, known: service.picker.len() })
         });
         chosen.unwrap_or(Err(Duration::from_secs(1)))
     }
@@ -106,6 +120,13 @@
     }
 }
 
+/// Returns this daemon's share of the retries that the settings allow to all.
+fn allowance(d: &Daemon) -> Allowance {
+    let retries = d.tunable.get().retries;
+    let daemons = d.members.live_count().max(1) as f64;
+    Allowance { earned: retries.ratio * SAFE_SHARE, saved: retries.slack * SAFE_SHARE / daemons }
+}
+
 /// An attempt in progress; its end is recorded even if the caller vanishes.
 pub struct Flight {
     d: Arc<Daemon>,
--- a/src/daemon/stage.rs
+++ b/src/daemon/stage.rs
@@ -1,7 +1,7 @@
 //! Fetching what a version needs, from whoever has it, and what follows.
 
 use super::{Daemon, mesh, versions::Versions};
-use crate::platform::{Platform, PlatformError, keys};
+use crate::store::{Platform, PlatformError, keys};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::stage::{Bad, Next, Scope, Staged};
 use cicadashift_core::delivery::store::Rejected;
--- /dev/null
+++ b/src/daemon/tunable.rs
@@ -0,0 +1,75 @@
+//! The part of the settings that may change while the daemon runs.
+
+use super::{Daemon, lock};
+use crate::settings::{Retries, Settings};
+use smol::channel::Receiver;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Values that may change while the daemon runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Values {
+    /// Repeated attempts that all daemons together may add.
+    pub retries: Retries,
+    /// Time a planned stop gives peers to stop sending.
+    pub leave: Duration,
+    /// Time a planned stop gives calls in progress.
+    pub finish: Duration,
+}
+
+impl Values {
+    fn of(settings: &Settings) -> Values {
+        Values {
+            retries: settings.retries,
+            leave: Duration::from_millis(settings.limits.leave_ms),
+            finish: Duration::from_millis(settings.limits.finish_ms),
+        }
+    }
+}
+
+/// Values that may change, behind their lock.
+pub struct Tunable {
+    values: Mutex<Values>,
+}
+
+impl Tunable {
+    /// Takes the values of the settings.
+    pub fn new(settings: &Settings) -> Tunable {
+        Tunable { values: Mutex::new(Values::of(settings)) }
+    }
+
+    /// Returns the values now in force.
+    pub fn get(&self) -> Values {
+        *lock(&self.values)
+    }
+}
+
+/// Takes changed settings in until cancelled. Calls in progress are not touched.
+pub async fn run(d: Arc<Daemon>, changes: Receiver<Settings>) {
+    while let Ok(settings) = changes.recv().await {
+        *lock(&d.tunable.values) = Values::of(&settings);
+        d.metrics.incr("settings.changed");
+        for field in unchanged_until_restart(&d.settings, &settings) {
+            log::warn!("settings: `{field}` changed; it takes effect at the next start");
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Names the fields that differ but are only read at the start.
+fn unchanged_until_restart(old: &Settings, new: &Settings) -> Vec<&'static str> {
+    let fields = [
+        ("host", old.host != new.host),
+        ("failure_domain", old.failure_domain != new.failure_domain),
+        ("services", old.services != new.services),
+        ("labels", old.labels != new.labels),
+        ("callers", old.callers != new.callers),
+        ("upstreams", old.upstreams != new.upstreams),
+        ("mesh", old.mesh != new.mesh),
+        ("ready", old.ready != new.ready),
+        ("platform", old.platform != new.platform),
+        ("mesh_key", old.mesh_key != new.mesh_key),
+        ("threads", old.threads != new.threads),
+    ];
+    fields.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect()
+}
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -3,16 +3,20 @@
 //! `docs/UPSTREAMS.md` describes it for those who write upstreams. It trusts who
 //! can reach it, so it belongs on loopback.
 
-use super::gates::Announced;
-use super::{Daemon, headers, status};
+use super::request::headers;
+use super::{Daemon, status};
 use cicadashift_core::config::check_name;
-use cicadashift_core::membership::record::{Endpoint, Readiness};
+use cicadashift_core::membership::record::Readiness;
+use cicadashift_edge::interface::{
+    Announcement as Announced, Interface, Malformed, Report as Told,
+};
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Largest announcement in bytes.
 const MAX_BODY: usize = 64 << 10;
@@ -46,6 +50,13 @@
     let Ok(buf) = body::read(incoming, MAX_BODY).await else {
         return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n");
     };
+    if let Some(hosted) = &d.hosted {
+        match hosted.report(&head.method, head.uri.path(), &buf) {
+            Ok(Some(report)) => return take_report(&d, report),
+            Ok(None) => {}
+            Err(err) => return refuse_report(&d, &err),
+        }
+    }
     let path = head.uri.path().trim_matches('/');
     let parts: Vec<&str> = path.split('/').collect();
     match (&head.method, parts.as_slice()) {
@@ -59,6 +70,25 @@
     }
 }
 
+/// Takes in a report in the platform's form. The answer binds: from then on an
+/// upstream that leaves gets no new work from here.
+fn take_report(d: &Daemon, report: Told) -> Response<Body> {
+    match report {
+        Told::Announce(announced) => d.gates.announce(d, announced),
+        Told::Leave { instance } => {
+            log::info!("upstream {instance} left");
+            d.gates.remove(d, &instance);
+        }
+    }
+    json(serde_json::json!({}))
+}
+
+fn refuse_report(d: &Daemon, err: &Malformed) -> Response<Body> {
+    log::warn!("a report of an upstream is not taken in: {err}");
+    d.metrics.incr("upstream.malformed");
+    headers::plain(StatusCode::BAD_REQUEST, &format!("{err}\n"))
+}
+
 fn announce(d: &Daemon, buf: &[u8]) -> Response<Body> {
     let announcement: Announcement = match serde_json::from_slice(buf) {
         Ok(announcement) => announcement,
@@ -74,15 +104,19 @@
         let line = "slots must be at least 1 and at most connections\n";
         return headers::plain(StatusCode::BAD_REQUEST, line);
     }
-    let endpoint = Endpoint {
-        instance: announcement.instance,
-        service: announcement.service,
-        slots: announcement.slots,
-        readiness: announcement.readiness,
-    };
-    log::info!("upstream {} of {} announced", endpoint.instance, endpoint.service);
-    let connections = usize::from(announcement.connections);
-    d.gates.announce(d, Announced { endpoint, address: announcement.address, connections });
+    d.gates.announce(
+        d,
+        Announced {
+            instance: announcement.instance,
+            service: announcement.service,
+            address: announcement.address,
+            slots: announcement.slots,
+            readiness: announcement.readiness,
+            // This form has no number that rises; each report is taken as new.
+            sequence: 0,
+            cold_for: Duration::ZERO,
+        },
+    );
     headers::plain(StatusCode::OK, "announced\n")
 }
 
--- a/src/daemon/versions.rs
+++ b/src/daemon/versions.rs
@@ -3,6 +3,7 @@
 use super::lock;
 use crate::clock::Clock;
 use crate::settings::Settings;
+use bytes::Bytes;
 use cicadashift_core::config::compile::Table;
 use cicadashift_core::config::manifest::{self, Root};
 use cicadashift_core::delivery::node::{Action, Event, Guards, Node};
@@ -14,6 +15,7 @@
 use serde_bytes::ByteBuf;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant};
 
 /// Versions whose objects are kept beside the one that runs.
 const KEPT: usize = 3;
@@ -74,6 +76,16 @@
     clock: Arc<dyn Clock>,
     inner: Mutex<Inner>,
     running: RwLock<Arc<Running>>,
+    document: Mutex<HeldDocument>,
+}
+
+/// The configuration in force where it comes whole from one key.
+#[derive(Clone, Default)]
+struct HeldDocument {
+    version: Version,
+    text: Bytes,
+    /// When the store last said that this is the newest version.
+    confirmed: Option<Instant>,
 }
 
 impl Versions {
@@ -95,7 +107,47 @@
             waiting: BTreeMap::new(),
             whole: 0,
         };
-        Versions { clock, inner: Mutex::new(inner), running: RwLock::default() }
+        let document = Mutex::new(HeldDocument::default());
+        Versions { clock, inner: Mutex::new(inner), running: RwLock::default(), document }
+    }
+
+    /// Puts a whole document in force if it is newer; returns whether it was.
+    ///
+    /// `text` is kept for members that cannot reach the store.
+    pub fn install(&self, table: Table, selected: Vec<String>, text: Bytes) -> bool {
+        let mut document = lock(&self.document);
+        if table.version <= document.version {
+            return false;
+        }
+        document.version = table.version;
+        document.text = text;
+        let running = Running { table, selected, since_ms: self.clock.wall_ms() };
+        let mut slot = self.running.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        *slot = Arc::new(running);
+        true
+    }
+
+    /// Returns the document in force, with its version.
+    pub fn document(&self) -> Option<(Version, Bytes)> {
+        let document = lock(&self.document);
+        (document.version > 0).then(|| (document.version, document.text.clone()))
+    }
+
+    /// Notes that the store has no newer version than the one in force.
+    pub fn confirm(&self, now: Instant) {
+        lock(&self.document).confirmed = Some(now);
+    }
+
+    /// Returns whether the store said so within a time.
+    pub fn is_confirmed_within(&self, now: Instant, time: Duration) -> bool {
+        let confirmed = lock(&self.document).confirmed;
+        confirmed.is_some_and(|at| now.saturating_duration_since(at) <= time)
+    }
+
+    /// Returns how long ago the store said so, in milliseconds.
+    pub fn confirmed_age_ms(&self, now: Instant) -> Option<u64> {
+        let confirmed = lock(&self.document).confirmed;
+        confirmed.map(|at| now.saturating_duration_since(at).as_millis() as u64)
     }
 
     /// Returns what runs now.
@@ -146,7 +198,8 @@
 
     /// Returns the highest version that is safe to run.
     pub fn active_version(&self) -> Version {
-        lock(&self.inner).node.active()
+        let document = lock(&self.document).version;
+        document.max(lock(&self.inner).node.active())
     }
 
     /// Returns the version not to fall below, once known.
@@ -161,7 +214,8 @@
 
     /// Returns the version that runs, zero before the first.
     pub fn running_version(&self) -> Version {
-        lock(&self.inner).node.running()
+        let document = lock(&self.document).version;
+        document.max(lock(&self.inner).node.running())
     }
 
     /// Returns whether a version is held whole or run already.
@@ -273,11 +327,12 @@
     /// Returns what `status` tells.
     pub fn summary(&self) -> Summary {
         let running = self.running();
+        let document = lock(&self.document).version;
         let inner = lock(&self.inner);
         Summary {
-            running: inner.node.running(),
-            active: inner.node.active(),
-            held: inner.node.held(),
+            running: document.max(inner.node.running()),
+            active: document.max(inner.node.active()),
+            held: document.max(inner.node.held()),
             floor: inner.node.floor(),
             newest: inner.refs.last_key_value().map_or(0, |(version, _)| *version),
             bad: inner.bad.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,5 +11,5 @@
 pub mod logging;
 pub mod metrics;
 pub mod operator;
-pub mod platform;
 pub mod settings;
+pub mod store;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -12,7 +12,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Target of decision lines.
 pub const DECISION: &str = "decision";
@@ -24,20 +24,25 @@
     LOST.load(Ordering::Relaxed)
 }
 
-/// Starts logging to standard error.
+/// Starts logging to standard output.
 ///
 /// # Errors
 ///
 /// Returns the library's error where a logger is already in place.
 pub fn start(log: &settings::Log) -> Result<LoggerHandle, FlexiLoggerError> {
+    let writer = LossyWriter::start(log.json, log.buffer_lines.max(1));
+    Logger::with(specification(log)).log_to_writer(Box::new(writer)).start()
+}
+
+/// Returns which lines the settings ask for.
+pub fn specification(log: &settings::Log) -> LogSpecification {
     let level = log.level.parse().unwrap_or(log::LevelFilter::Info);
     let mut spec = LogSpecification::builder();
     spec.default(level);
     if !log.decisions {
         spec.module(DECISION, log::LevelFilter::Off);
     }
-    let writer = LossyWriter::start(log.json, log.buffer_lines.max(1));
-    Logger::with(spec.build()).log_to_writer(Box::new(writer)).start()
+    spec.build()
 }
 
 /// Logs a decision with its fields.
@@ -48,6 +53,48 @@
     }
 }
 
+/// Logs a decision that is one of many alike, if `ordinary`, within a bound.
+///
+/// The first [`ORDINARY_PER_S`] of a second are logged, the others counted.
+pub fn ordinary<T: Serialize>(ordinary: bool, event: &T) {
+    if !ordinary || ORDINARY.take() {
+        decision(event);
+    }
+}
+
+/// Bounds the ordinary lines of one process.
+static ORDINARY: Quota = Quota { second: AtomicU64::new(0), used: AtomicU64::new(0) };
+/// Ordinary decision lines in a second; further ones are left out and counted.
+/// One line costs some 10 us, so that these stay under a hundredth of a slow core.
+const ORDINARY_PER_S: u64 = 20;
+
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many ordinary lines were left out since the start.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
+struct Quota {
+    second: AtomicU64,
+    used: AtomicU64,
+}
+
+impl Quota {
+    fn take(&self) -> bool {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = since.as_secs();
+        if self.second.swap(now, Ordering::Relaxed) != now {
+            self.used.store(0, Ordering::Relaxed);
+        }
+        let within = self.used.fetch_add(1, Ordering::Relaxed) < ORDINARY_PER_S;
+        if !within {
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+        within
+    }
+}
+
 /// Hands lines to a thread and drops them when it falls behind.
 struct LossyWriter {
     json: bool,
@@ -107,7 +154,7 @@
 }
 
 fn write_all(rx: Receiver<Item>) {
-    let mut out = std::io::BufWriter::new(std::io::stderr());
+    let mut out = std::io::BufWriter::new(std::io::stdout());
     let mut told = 0;
     while let Ok(item) = rx.recv() {
         write_one(&mut out, item);
--- a/src/operator/change.rs
+++ b/src/operator/change.rs
@@ -2,7 +2,7 @@
 
 use super::OperatorError;
 use crate::daemon::reader::Roster;
-use crate::platform::{Platform, PlatformError, Revision, Swap, keys};
+use crate::store::{Platform, PlatformError, Revision, Swap, keys};
 use cicadashift_core::config::manifest::{
     self, ConfigPage, Entry, LabelPage, Manifest, Object, Root, SelectorPage,
 };
@@ -111,8 +111,8 @@
 /// Returns [`Invalid::UnknownService`] for the first that has not.
 pub fn check_services(cfg: &Config, known: &BTreeSet<String>) -> Result<(), Invalid> {
     for route in &cfg.routes {
-        if !known.contains(&route.service) {
-            let (config, service) = (cfg.id.clone(), route.service.clone());
+        if let Some(service) = route.services().find(|service| !known.contains(*service)) {
+            let (config, service) = (cfg.id.clone(), service.to_string());
             return Err(Invalid::UnknownService { config, service });
         }
     }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -10,7 +10,7 @@
 pub mod record;
 pub mod report;
 
-use crate::platform::PlatformError;
+use crate::store::PlatformError;
 use cicadashift_core::config::Invalid;
 use cicadashift_core::delivery::head::Refused;
 use std::fmt;
--- a/src/operator/record.rs
+++ b/src/operator/record.rs
@@ -2,7 +2,7 @@
 
 use super::OperatorError;
 use crate::daemon::record::quarter_of;
-use crate::platform::{Platform, keys};
+use crate::store::{Platform, keys};
 use cicadashift_wire::rpc::RecordRow;
 use serde::Serialize;
 use std::collections::BTreeSet;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -16,7 +16,7 @@
 pub const MIN_KEY_BYTES: usize = 16;
 
 /// What a daemon learns before it starts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The host's name, unique in the mesh.
@@ -41,9 +41,17 @@
     /// Address under which other failure domains reach `mesh`.
     #[serde(default)]
     pub far_address: Option<SocketAddr>,
+    /// How callers, upstreams, operators and the store speak.
+    #[serde(default)]
+    pub interface: InterfaceKind,
+    /// Port that tells whether this daemon takes work.
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
     /// Addresses of the platform's service.
     pub platform: Vec<SocketAddr>,
-    /// Hosts of this failure domain that remember versions for the others.
+    /// Hosts of this failure domain that remember versions for the others; only
+    /// for the interface `own`.
+    #[serde(default)]
     pub witnesses: Vec<String>,
     /// Mesh addresses of some daemons of this failure domain.
     #[serde(default)]
@@ -62,12 +70,45 @@
     /// Bounds that protect the daemon.
     #[serde(default)]
     pub limits: Limits,
+    /// Repeated attempts that all daemons together may add.
+    #[serde(default)]
+    pub retries: Retries,
     /// What is logged, and how.
     #[serde(default)]
     pub log: Log,
     /// Address of a statsd collector.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// Address on which counters and histograms are served as text.
+    #[serde(default)]
+    pub metrics_text: Option<SocketAddr>,
+}
+
+/// How callers, upstreams, operators and the store speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum InterfaceKind {
+    /// As `docs/UPSTREAMS.md` and `docs/CONFIGURATION.md` say; the store is etcd.
+    #[default]
+    Own,
+    /// As the users' platform does; see `docs/PLATFORM.md`.
+    Platform,
+}
+
+/// Repeated attempts that all daemons together may add to a service's load.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Retries {
+    /// Repeated attempts for each first one.
+    pub ratio: f64,
+    /// Repeated attempts beyond the ratio, of all daemons in one window.
+    pub slack: f64,
+}
+
+impl Default for Retries {
+    fn default() -> Retries {
+        Retries { ratio: 0.2, slack: 100.0 }
+    }
 }
 
 /// Bounds that protect the daemon.
@@ -206,7 +247,10 @@
     }
 
     fn check_ports(&self) -> Result<(), SettingsError> {
-        let ports = [("callers", self.callers), ("upstreams", self.upstreams), ("mesh", self.mesh)];
+        let mut ports =
+            vec![("callers", self.callers), ("upstreams", self.upstreams), ("mesh", self.mesh)];
+        ports.extend(self.ready.map(|addr| ("ready", addr)));
+        ports.extend(self.metrics_text.map(|addr| ("metrics_text", addr)));
         for (i, (_, a)) in ports.iter().enumerate() {
             for (name, b) in &ports[i + 1..] {
                 if a == b && a.port() != 0 {
@@ -223,9 +267,17 @@
     }
 
     fn check_counts(&self) -> Result<(), SettingsError> {
-        if self.witnesses.is_empty() {
+        if self.witnesses.is_empty() && self.interface == InterfaceKind::Own {
             return Err(field("witnesses", "[]".to_string(), "is empty; name three or five hosts"));
         }
+        if !(0.0..=1.0).contains(&self.retries.ratio) {
+            let ratio = self.retries.ratio.to_string();
+            return Err(field("retries.ratio", ratio, "is not 0 to 1"));
+        }
+        if !(0.0..=1e6).contains(&self.retries.slack) {
+            let slack = self.retries.slack.to_string();
+            return Err(field("retries.slack", slack, "is not 0 to 1000000"));
+        }
         if !(1..=64).contains(&self.threads) {
             return Err(field("threads", self.threads.to_string(), "is not 1 to 64"));
         }
--- a/src/platform/etcd.rs
+++ b/src/store/etcd.rs
@@ -141,6 +141,16 @@
         Ok(swapped(&result))
     }
 
+    async fn put_leased(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: Lease,
+    ) -> Result<Swap, PlatformError> {
+        let result = self.txn(json!({"success": [put(key, value, Some(lease))]})).await?;
+        Ok(swapped(&result))
+    }
+
     async fn grant(&self, time: Duration) -> Result<Lease, PlatformError> {
         let ask = json!({"TTL": time.as_secs().max(1).to_string(), "ID": "0"});
         let result = self.call("/v3/lease/grant", ask).await?;
@@ -166,7 +176,8 @@
         });
         let req = request("/v3/watch", &json!({"create_request": create}))?;
         let sent = exec::timeout(CALL_TIME, self.pool.send(self.addr()?, req)).await;
-        let res = sent.unwrap_or(Err(SendError::TimedOut)).map_err(|err| self.failed(err))?;
+        let (res, _closes_with_the_watch) =
+            sent.unwrap_or(Err(SendError::TimedOut)).map_err(|err| self.failed(err))?;
         if res.status() != StatusCode::OK {
             return Err(self.failed_with(format!("status {}", res.status())));
         }
--- a/src/platform/keys.rs
+++ b/src/store/keys.rs
@@ -27,3 +27,11 @@
 pub fn roster(domain: &str) -> String {
     format!("{ROSTERS}{domain}")
 }
+
+/// Prefix of the entries by which daemons find each other.
+pub const DAEMONS: &str = "cicadashift/daemon/";
+
+/// Returns the key of a daemon's entry.
+pub fn daemon(host: &str) -> String {
+    format!("{DAEMONS}{host}")
+}
