Queue calls for as long as they can still be in time

Cause: a call waited as long as 0.4 of its deadline.

Change: the bound is the route's objective, with times kept apart by kind of call; of five turns one is for the least urgent rank; what can no longer be in time is refused when that is seen. Test: testdata/requests/overload.scn.

Ruled out: serving what became late from a lane of its own; it takes turns from calls that can still be in time.

--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -1,19 +1,32 @@
 //! Admission to one upstream, decided on its own host.
 //!
 //! A [`Gate`] lets at most as many calls through as the upstream has slots and
-//! queues the rest for as long as each can still be answered in good time. The
-//! length of the queue is not fixed: a call is queued if the calls before it, at
-//! the observed service time, leave enough of its deadline.
+//! queues the rest for as long as each can still be answered within its
+//! objective. The length of the queue is not fixed: a call is queued if the work
+//! before it, at the observed time of each kind of call, leaves enough time.
+//! What does not fit is refused at once, so that its caller can do something
+//! else with the time, and so that the queue holds only what is worth most.
 //!
-//! The queue is ordered by priority, then by start-time fair queueing over
-//! callers: a caller's next turn comes one step after its last, so a busy caller
-//! cannot push back a quiet one.
+//! # Order
+//!
+//! More urgent calls go first, but of [`URGENT_TURNS`] + 1 turns one is for the
+//! least urgent rank that waits. Failure: urgent calls alone fill the upstream.
+//! Symptom: the others wait until their deadlines and none is served. Within a
+//! rank the order is start-time fair queueing over callers: a caller's next turn
+//! comes one step after its last, so a busy caller cannot push back a quiet one.
+//!
+//! # Load patterns
+//!
+//! - More arrivals than slots for seconds: with the whole remaining time to wait
+//!   in, the queue grows until every answer is late; with the objective as the
+//!   bound the upstream answers as many, in time.
+//! - An upstream that is slower than the objective: nothing waits, but free slots
+//!   are used, since a late answer is better than none.
 //!
 //! # Limits
 //!
 //! The estimate is a mean. Under a service time with a heavy tail some queued
-//! calls miss their deadline in the queue; they are refused as not run the
-//! moment this is certain, which is when their remaining time is used up.
+//! calls run out of time; they are refused as not run as soon as that is seen.
 
 use super::{MIN_RETRY_AFTER, spread};
 use crate::config::Priority;
@@ -31,13 +44,25 @@
 const SHED_FACTOR: f64 = 0.8;
 /// Time during which one shed answer lowers the limit only once.
 const SHED_WINDOW: Duration = Duration::from_millis(100);
-/// Share of a call's remaining time that it may spend here. Under overload the
-/// queue is always as long as it may be: a larger share makes every answer late
-/// without making one more of them, and leaves no time for another attempt.
-const WAIT_SHARE: f64 = 0.4;
+/// Service times that must fit between a call's turn and its objective for it to
+/// be queued. Above one, since half of the calls take longer than their mean.
+const ROOM: f64 = 1.25;
+/// Service times that must fit for a waiting call to go on waiting; less than
+/// [`ROOM`], since what was queued is not given up for a small error.
+const LEAST_ROOM: f64 = 0.8;
 /// Share of the mean service time that must be left of a deadline for a call to
 /// be begun.
 const LIKELY_SHARE: f64 = 0.9;
+/// Turns in a row that more urgent calls get while less urgent ones wait.
+const URGENT_TURNS: u32 = 4;
+/// Most of the upstream's work that more urgent calls are taken to fill: the turn
+/// that others get is never less than this leaves.
+const URGENT_MOST: f64 = 0.8;
+/// What is left, at each turn, of the weight of earlier turns in the shares of
+/// ranks: some thirty turns are remembered.
+const SHARE_DECAY: f64 = 0.97;
+/// Kinds of calls whose times are kept apart; further ones share a mean.
+const KINDS_KEPT: usize = 64;
 /// Most calls queued, whatever their deadlines, so that memory is bounded.
 pub const MAX_QUEUE: usize = 1024;
 
@@ -60,8 +85,14 @@
     pub priority: Priority,
     /// Who asked.
     pub caller: CallerKey,
+    /// What kind of call it is; calls of one kind take about the same time.
+    pub kind: KindKey,
 }
 
+/// Names a kind of call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct KindKey(pub u64);
+
 /// Why a call is refused as not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -132,29 +163,59 @@
 
 type Place = (Priority, u64, Ticket);
 
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    arrival: Arrival,
-    place: Place,
-}
-
 /// Admission to one upstream.
 #[derive(Clone, Debug)]
 pub struct Gate {
     slots: u32,
     limit: f64,
-    running: BTreeMap<Ticket, Instant>,
+    running: BTreeMap<Ticket, KindKey>,
     queue: BTreeMap<Place, Arrival>,
-    waiting: HashMap<Ticket, Waiting>,
+    waiting: HashMap<Ticket, Place>,
     turns: HashMap<CallerKey, u64>,
     turn: u64,
-    mean: Duration,
-    observed: bool,
+    times: Times,
+    /// Work begun lately, by rank, in seconds of service time.
+    work: BTreeMap<Priority, f64>,
+    /// Turns that went to more urgent calls while less urgent ones waited.
+    urgent_turns: u32,
     last_shed: Option<Instant>,
     draining: bool,
     next: u64,
 }
 
+/// Observed service times.
+#[derive(Clone, Debug)]
+struct Times {
+    mean: Duration,
+    observed: bool,
+    by_kind: HashMap<KindKey, Duration>,
+}
+
+impl Times {
+    fn of(&self, kind: KindKey) -> Duration {
+        self.by_kind.get(&kind).copied().unwrap_or(self.mean)
+    }
+
+    fn observe(&mut self, kind: KindKey, took: Duration) {
+        let weight = if self.observed { SMOOTHING } else { 1.0 };
+        self.observed = true;
+        self.mean = toward(self.mean, took, weight);
+        let has_room = self.by_kind.len() < KINDS_KEPT;
+        match self.by_kind.get_mut(&kind) {
+            Some(mean) => *mean = toward(*mean, took, SMOOTHING),
+            None if has_room => {
+                self.by_kind.insert(kind, took);
+            }
+            None => {}
+        }
+    }
+}
+
+fn toward(old: Duration, new: Duration, weight: f64) -> Duration {
+    let (old, new) = (old.as_secs_f64(), new.as_secs_f64());
+    Duration::from_secs_f64((old + weight * (new - old)).max(0.0))
+}
+
 impl Gate {
     /// Makes the gate of an upstream that runs `slots` calls at once.
     ///
@@ -174,8 +235,9 @@
             waiting: HashMap::new(),
             turns: HashMap::new(),
             turn: 0,
-            mean: FIRST_GUESS,
-            observed: false,
+            times: Times { mean: FIRST_GUESS, observed: false, by_kind: HashMap::new() },
+            work: BTreeMap::new(),
+            urgent_turns: 0,
             last_shed: None,
             draining: false,
             next: 0,
@@ -204,7 +266,7 @@
 
     /// Returns the mean time that a call takes at the upstream.
     pub fn mean(&self) -> Duration {
-        self.mean
+        self.times.mean
     }
 
     /// Returns whether the upstream is leaving.
@@ -235,13 +297,12 @@
         let ticket = Ticket(self.next);
         self.next += 1;
         if self.running.len() < self.limit() && self.queue.is_empty() {
-            self.running.insert(ticket, now);
+            self.begin(ticket, &arrival);
             return Admission::Run(ticket);
         }
-        let ahead = self.ahead_of(&arrival);
-        let wait = self.time_for(ahead + 1);
-        let left = arrival.deadline.saturating_duration_since(now);
-        if wait + self.mean > left.mul_f64(WAIT_SHARE) {
+        let wait = self.wait_of(&arrival);
+        let needed = wait + self.times.of(arrival.kind).mul_f64(ROOM);
+        if now + needed > arrival.objective {
             return Admission::Refuse(Refusal::Busy { retry_after: spread(wait, random) });
         }
         if self.queue.len() >= MAX_QUEUE {
@@ -253,11 +314,12 @@
 
     /// Takes in the end of a call that ran, and lets waiting ones in.
     pub fn ended(&mut self, ticket: Ticket, end: End, now: Instant) -> Vec<Wake> {
-        if self.running.remove(&ticket).is_none() {
-            return Vec::new();
-        }
+        let Some(kind) = self.running.remove(&ticket) else { return Vec::new() };
         match end {
-            End::Answered(took) => self.observe(took),
+            End::Answered(took) => {
+                self.times.observe(kind, took);
+                self.limit = (self.limit + 1.0).min(f64::from(self.slots));
+            }
             End::Shed => self.shed(now),
             End::Failed => {}
         }
@@ -266,8 +328,8 @@
 
     /// Forgets a waiting call whose caller is gone.
     pub fn cancel(&mut self, ticket: Ticket) {
-        if let Some(waiting) = self.waiting.remove(&ticket) {
-            self.queue.remove(&waiting.place);
+        if let Some(place) = self.waiting.remove(&ticket) {
+            self.queue.remove(&place);
         }
     }
 
@@ -288,14 +350,31 @@
         tickets.into_iter().map(|ticket| Wake::Refuse(ticket, Refusal::Draining)).collect()
     }
 
-    fn ahead_of(&self, arrival: &Arrival) -> usize {
+    fn begin(&mut self, ticket: Ticket, arrival: &Arrival) {
+        self.running.insert(ticket, arrival.kind);
+        self.work.values_mut().for_each(|work| *work *= SHARE_DECAY);
+        let time = self.times.of(arrival.kind).as_secs_f64();
+        *self.work.entry(arrival.priority).or_default() += time;
+    }
+
+    /// Returns how long a call that arrives now is expected to wait.
+    ///
+    /// The work before it and the time until a slot is free are spread over the
+    /// slots. More urgent calls will go on arriving and take turns from it, so
+    /// that only what they leave counts.
+    fn wait_of(&self, arrival: &Arrival) -> Duration {
         let place = (arrival.priority, self.next_turn(arrival.caller), Ticket(self.next));
-        self.queue.range(..place).count()
+        let before: Duration =
+            self.queue.range(..place).map(|(_, before)| self.times.of(before.kind)).sum();
+        let left = 1.0 - self.urgent_share(arrival.priority);
+        (before + self.times.mean).div_f64(self.limit() as f64 * left)
     }
 
-    fn time_for(&self, calls: usize) -> Duration {
-        let rounds = calls as f64 / self.limit() as f64;
-        self.mean.mul_f64(rounds)
+    /// Returns the share of the work begun lately that was more urgent.
+    fn urgent_share(&self, priority: Priority) -> f64 {
+        let total: f64 = self.work.values().sum();
+        let urgent: f64 = self.work.range(..priority).map(|(_, work)| work).sum();
+        if total > 0.0 { (urgent / total).min(URGENT_MOST) } else { 0.0 }
     }
 
     fn next_turn(&self, caller: CallerKey) -> u64 {
@@ -307,16 +386,7 @@
         self.turns.insert(arrival.caller, turn);
         let place = (arrival.priority, turn, ticket);
         self.queue.insert(place, arrival);
-        self.waiting.insert(ticket, Waiting { arrival, place });
-    }
-
-    fn observe(&mut self, took: Duration) {
-        let old = self.mean.as_secs_f64();
-        let weight = if self.observed { SMOOTHING } else { 1.0 };
-        let new = old + weight * (took.as_secs_f64() - old);
-        self.mean = Duration::from_secs_f64(new.max(0.0));
-        self.observed = true;
-        self.limit = (self.limit + 1.0).min(f64::from(self.slots));
+        self.waiting.insert(ticket, place);
     }
 
     fn shed(&mut self, now: Instant) {
@@ -330,18 +400,16 @@
     fn wake(&mut self, now: Instant) -> Vec<Wake> {
         let mut wakes = self.expire(now);
         while self.running.len() < self.limit() {
-            let Some((place, arrival)) = self.queue.pop_first() else { break };
+            let Some((place, arrival)) = self.take_next() else { break };
             let ticket = place.2;
-            self.waiting.remove(&ticket);
-            self.turn = self.turn.max(place.1);
             // Work that will most likely miss its deadline would take a slot from
             // a call that can make it, and leave its caller without an answer.
             let left = arrival.deadline.saturating_duration_since(now);
-            if left < self.mean.mul_f64(LIKELY_SHARE) {
+            if left < self.times.of(arrival.kind).mul_f64(LIKELY_SHARE) {
                 wakes.push(Wake::Refuse(ticket, Refusal::TooLate));
                 continue;
             }
-            self.running.insert(ticket, now);
+            self.begin(ticket, &arrival);
             wakes.push(Wake::Run(ticket));
         }
         if self.queue.is_empty() {
@@ -350,16 +418,45 @@
         wakes
     }
 
+    /// Takes the call whose turn it is out of the queue.
+    fn take_next(&mut self) -> Option<(Place, Arrival)> {
+        let most = self.queue.first_key_value()?.0.0;
+        let least = self.queue.last_key_value()?.0.0;
+        let of_least = least != most && self.urgent_turns >= URGENT_TURNS;
+        self.urgent_turns = match least == most || of_least {
+            true => 0,
+            false => self.urgent_turns + 1,
+        };
+        let from = (if of_least { least } else { most }, 0, Ticket(0));
+        let place = *self.queue.range(from..).next()?.0;
+        let arrival = self.queue.remove(&place)?;
+        self.waiting.remove(&place.2);
+        self.turn = self.turn.max(place.1);
+        Some((place, arrival))
+    }
+
+    /// Refuses what can no longer be answered in time.
+    ///
+    /// While slots are free nothing waits, so that whoever is refused here gives
+    /// its turn to a call that can still make it.
     fn expire(&mut self, now: Instant) -> Vec<Wake> {
-        let late: Vec<_> = self
-            .waiting
+        let late: Vec<(Place, Refusal)> = self
+            .queue
             .iter()
-            .filter(|(_, waiting)| now >= waiting.arrival.deadline)
-            .map(|(ticket, _)| *ticket)
+            .filter_map(|(place, arrival)| Some((*place, self.lateness(arrival, now)?)))
             .collect();
-        for ticket in &late {
-            self.cancel(*ticket);
+        for (place, _) in &late {
+            self.cancel(place.2);
+        }
+        late.into_iter().map(|(place, refusal)| Wake::Refuse(place.2, refusal)).collect()
+    }
+
+    fn lateness(&self, arrival: &Arrival, now: Instant) -> Option<Refusal> {
+        if now >= arrival.deadline {
+            return Some(Refusal::TooLate);
         }
-        late.into_iter().map(|ticket| Wake::Refuse(ticket, Refusal::TooLate)).collect()
+        let needed = self.times.of(arrival.kind).mul_f64(LEAST_ROOM);
+        let late = now + needed > arrival.objective;
+        late.then_some(Refusal::Busy { retry_after: self.times.mean.max(MIN_RETRY_AFTER) })
     }
 }
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -7,7 +7,9 @@
 use cicadashift_core::membership::record::{Health, Record};
 use cicadashift_core::membership::table::Table;
 use cicadashift_core::request::choose::{Known, Picker, Policy};
-use cicadashift_core::request::gate::{Admission, Arrival, CallerKey, End, Gate, Ticket, Wake};
+use cicadashift_core::request::gate::{
+    Admission, Arrival, CallerKey, End, Gate, KindKey, Ticket, Wake,
+};
 use cicadashift_core::request::retry::{Allowance, Attempt, Budget, Call, Verdict};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -78,7 +80,13 @@
                     let deadline = now + Duration::from_millis(deadline_ms);
                     let priority = if high { Priority::HIGH } else { Priority::LOW };
                     let caller = CallerKey(caller);
-                    let arrival = Arrival { deadline, objective: deadline, priority, caller };
+                    let arrival = Arrival {
+                        deadline,
+                        objective: deadline,
+                        priority,
+                        caller,
+                        kind: KindKey::default(),
+                    };
                     match gate.admit(arrival, now, 7) {
                         Admission::Run(ticket) => {
                             seen.deadlines.insert(ticket, deadline);
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -5,7 +5,9 @@
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::request::choose::{Known, Outcome, Picker, Policy, UpstreamKey};
-use cicadashift_core::request::gate::{Admission, Arrival, CallerKey, End, Gate, Ticket, Wake};
+use cicadashift_core::request::gate::{
+    Admission, Arrival, CallerKey, End, Gate, KindKey, Ticket, Wake,
+};
 use cicadashift_core::request::retry::{Allowance, Attempt, Budget, Call, Verdict};
 use datadriven::TestCase;
 use std::collections::{BTreeMap, HashMap};
@@ -82,8 +84,12 @@
         let caller = CallerKey(HostKey::of(arg(case, "caller", "someone")).0);
         let mut out = String::new();
         for name in list(case, "call") {
-            let objective = deadline;
-            let arrival = Arrival { deadline, objective, priority, caller };
+            let objective = match number(case, "objective", 0) {
+                0 => deadline,
+                ms => self.now() + Duration::from_millis(ms),
+            };
+            let kind = KindKey(HostKey::of(arg(case, "kind", "any")).0);
+            let arrival = Arrival { deadline, objective, priority, caller, kind };
             let admitted = self.gate.admit(arrival, self.now(), 512);
             out.push_str(&match admitted {
                 Admission::Run(ticket) => {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -54,6 +54,8 @@
     pub priority: Priority,
     /// Names the caller for fairness.
     pub caller: u64,
+    /// Names the kind of call, for what its time is known from.
+    pub call_kind: u64,
     /// Service of the host on which the call began; empty where it is not told.
     pub caller_service: String,
     /// Attempts left to calls that the upstream makes.
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -42,6 +42,8 @@
     pub repeatable: bool,
     /// Names the caller for fairness.
     pub caller: u64,
+    /// Names the kind of call: its route.
+    pub kind: u64,
     /// When its head had been read.
     pub started: Instant,
     /// When it is given up.
@@ -260,6 +262,7 @@
         objective_ms: ms(work.objective.saturating_duration_since(now)),
         priority: work.route.priority,
         caller: work.caller,
+        call_kind: work.kind,
         caller_service: d.settings.services.first().cloned().unwrap_or_default(),
         // What this call may still use is shared by all calls below it, so that
         // retries at nine levels add up instead of multiplying.
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -16,6 +16,7 @@
 use cicadashift_http::hyper::http::request::Parts;
 use cicadashift_http::hyper::{Request, Response, StatusCode, header};
 use cicadashift_wire::call;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -79,6 +80,7 @@
         None => return headers::plain(StatusCode::REQUEST_TIMEOUT, "body came too slowly\n"),
     };
     let service = attempts::pick_part(&route, fastrand::u64(..)).to_string();
+    let kind = hash(&(&route.host, &route.prefix));
     let repeatable = route.may_repeat(head.method.as_str());
     let objective = now + route.objective();
     let started = now;
@@ -90,6 +92,7 @@
         service,
         repeatable,
         caller,
+        kind,
         started,
         deadline,
         objective,
@@ -163,12 +166,15 @@
 
 /// Names the caller for fairness: as it names itself, or by its address.
 fn caller_key(head: &Parts, peer: SocketAddr) -> u64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
     match headers::text(&head.headers, call::CALLER) {
-        Some(name) => name.hash(&mut hasher),
-        None => peer.ip().hash(&mut hasher),
+        Some(name) => hash(&name),
+        None => hash(&peer.ip()),
     }
+}
+
+fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
     hasher.finish()
 }
 
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -5,7 +5,7 @@
 use super::tracked::{Counted, Tracked};
 use crate::daemon::Daemon;
 use crate::daemon::gates::{Local, Pass};
-use cicadashift_core::request::gate::{Arrival, CallerKey, End, Refusal};
+use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
 use cicadashift_http::body::Body;
 use cicadashift_http::client::{Connection, IDLE_TIME};
 use cicadashift_http::exec;
@@ -33,8 +33,13 @@
         return refuse(&d, &cx, Refusal::Gone, arrived, None);
     };
     let objective = arrived + Duration::from_millis(u64::from(cx.objective_ms));
-    let arrival =
-        Arrival { deadline, objective, priority: cx.priority, caller: CallerKey(cx.caller) };
+    let arrival = Arrival {
+        deadline,
+        objective,
+        priority: cx.priority,
+        caller: CallerKey(cx.caller),
+        kind: KindKey(cx.call_kind),
+    };
     let pass = match local.admit(arrival, arrived).await {
         Ok(pass) => pass,
         Err(refusal) => return refuse(&d, &cx, refusal, arrived, Some(&local)),
