Send a second attempt beside a late one, and stay near while in time

Change: times are kept by kind of call and upstreams by their speed in means of the kind, so that what one kind taught holds for the others; a call stays near while its answer is expected within 0.6 of its objective; a call that may be repeated is sent to a second upstream beside the first when that one is late for its kind or its host gives no sign of life, paid from the budget and only where a slot is free; errors beyond the service's own raise the cost; a refusal brings the load and backs off calls of its rank for 60 ms. A call is given up 25 ms before its client does.

Ruled out: setting a refusing upstream aside for all calls for as long as it said; urgent calls then found nobody although slots were free.

--- a/crates/core/src/request/choose.rs
+++ b/crates/core/src/request/choose.rs
@@ -1,11 +1,16 @@
 //! Which upstream an entry daemon sends a call to.
 //!
 //! Each service has a [`Picker`]. It compares a few candidates of the own failure
-//! domain by expected time and looks at other domains when the best of them has
-//! no free slot or is much slower. A few, from a random place on, keep load even
-//! and, unlike the best of all, do not send every entry daemon to the same
-//! upstream on the same stale hint. Two are too few where several of four are
-//! cold: both are then bad too often. `docs/DESIGN.md`, "Choice", has the table.
+//! domain by the time in which the call would be answered there, and looks at
+//! other domains when the best of them cannot answer within the call's objective
+//! or has no free slot. A few, from a random place on, keep load even and, unlike
+//! the best of all, do not send every entry daemon to the same upstream on the
+//! same stale hint. Two are too few where several of four are cold: both are then
+//! bad too often. `docs/DESIGN.md`, "Choice", has the table.
+//!
+//! Upstreams of one service differ in speed, and kinds of calls in length. The
+//! expected time is the kind's mean over the service times the upstream's speed,
+//! so that what one kind of call taught about an upstream holds for the others.
 //!
 //! What was observed outranks what was claimed: an upstream's reported load is
 //! used only while it is fresh, and its reported health never at all.
@@ -15,6 +20,8 @@
 //! Entry daemons do not know of each other's calls until an answer brings the
 //! upstream's load. The exit daemon's gate makes up for that.
 
+use super::gate::KindKey;
+use crate::config::Priority;
 use crate::ids::HostKey;
 use crate::membership::record::Readiness;
 use serde::{Deserialize, Serialize};
@@ -28,12 +35,19 @@
 /// Share of the near side's cost at which the far side is taken although the
 /// near side has room.
 const MUCH_CHEAPER: f64 = 0.5;
-/// Weight of a new observation in the latency.
+/// Share of what is left of a call's objective within which the near side's
+/// answer must be expected for the call to stay near whatever the far side
+/// offers. Ways between failure domains are narrow and cost; an answer that is in
+/// time is as good as an earlier one.
+const IN_TIME: f64 = 0.6;
+/// Weight of a new observation in an upstream's speed.
 const SMOOTHING: f64 = 0.2;
-/// Latency assumed before the service's first answer.
+/// Time of a call assumed before the first answer to one of its kind.
 const FIRST_GUESS_MS: f64 = 5.0;
-/// Weight of a new observation in the service's mean latency.
-const MEAN_SMOOTHING: f64 = 0.02;
+/// Weight of a new observation in a kind's mean and deviation.
+const MEAN_SMOOTHING: f64 = 0.03;
+/// Kinds of calls whose times are kept apart; further ones share the rest.
+const KINDS_KEPT: usize = 64;
 /// Calls that an upstream without a recent answer is given at once, to learn how
 /// it is: what is not known must not look better than what is.
 const UNPROVEN_SLOTS: f64 = 2.0;
@@ -45,11 +59,33 @@
 const EJECT_FOR: Duration = Duration::from_millis(500);
 /// Longest time set aside.
 const EJECT_MOST: Duration = Duration::from_secs(15);
-/// Time in which an unused latency falls half-way back to the service's mean, so
-/// that an upstream that was slow is tried again.
+/// Longest time for which an upstream that refused a call gets no further ones of
+/// that rank. Its queue is as long as it may be; asking again at once costs a way
+/// there and back for the same answer. Short, since a slot is free again soon.
+const BACK_OFF_MOST: Duration = Duration::from_millis(60);
+/// Time in which an unused speed falls half-way back to the service's, so that an
+/// upstream that was slow is tried again.
 const FORGET: Duration = Duration::from_secs(4);
 /// Share of the slots a cold upstream is given at first.
 const COLD_SHARE: f64 = 0.25;
+/// Weight of a new answer in an upstream's share of errors.
+const ERROR_SMOOTHING: f64 = 0.1;
+/// The same for the service as a whole.
+const SERVICE_ERROR_SMOOTHING: f64 = 0.02;
+/// Time in which an unused upstream's share of errors is halved. A fault that
+/// lasts seconds is then looked at again a few times while it lasts.
+const FORGIVE: Duration = Duration::from_millis(1500);
+/// By how much errors beyond the service's own share raise the cost: an upstream
+/// that fails every third call must look three times as slow. What all upstreams
+/// of a service fail, such as calls whose own calls fail, is no reason to leave
+/// any of them.
+const ERROR_COST: f64 = 8.0;
+/// Deviations above the mean before which no call is late for its kind, and after
+/// which each is: of normal times one in a hundred and one in a thousand.
+const EARLY_DEVIATIONS: f64 = 3.0;
+const LATE_DEVIATIONS: f64 = 5.0;
+/// Mean times that a second try needs to be in time.
+const SECOND_TRY_ROOM: f64 = 1.3;
 
 /// Position of an upstream in its [`Picker`]'s arena; used again only after the
 /// upstream has left and its last call has ended.
@@ -98,10 +134,13 @@
 /// How an attempt at an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// A whole answer after this time, with the calls then at the upstream.
-    Answered { took: Duration, load: Option<u16> },
-    /// Refused as not run.
-    Refused { retry_after: Duration },
+    /// A whole answer: the time that the upstream took for it, the time that it
+    /// took from here, and the calls then at the upstream.
+    Answered { service: Duration, total: Duration, load: Option<u16> },
+    /// A whole answer that says that the upstream failed.
+    Erred,
+    /// Refused as not run, with the calls then at the upstream.
+    Refused { retry_after: Duration, load: Option<u16> },
     /// Certainly not run, since the host could not be reached.
     Unreached,
     /// No whole answer.
@@ -110,6 +149,17 @@
     Cancelled,
 }
 
+/// What a call asks of a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// Its kind.
+    pub kind: KindKey,
+    /// Its rank.
+    pub priority: Priority,
+    /// What is left of the time in which an answer is worth most.
+    pub objective: Duration,
+}
+
 /// The decisions of a picker, each of which can be switched off.
 ///
 /// The experiment `policy` takes one out at a time to show what it is worth.
@@ -156,20 +206,58 @@
     known: Known,
     present: bool,
     outstanding: u32,
-    latency_ms: Option<f64>,
-    latency_at: Instant,
+    /// Time of a call here in means of its kind.
+    speed: Option<f64>,
+    speed_at: Instant,
     hint: Option<(u16, Instant)>,
+    /// Share of answers that were errors, lately, and when that was observed.
+    errors: f64,
+    errors_at: Instant,
     failures: u32,
     ejections: u32,
     aside_until: Option<Instant>,
+    back_off: Option<BackOff>,
     answers: u32,
 }
 
+/// What an upstream said when it refused a call.
+#[derive(Clone, Copy, Debug)]
+struct BackOff {
+    /// Rank of the call.
+    priority: Priority,
+    /// Until when no call of that rank or a lower one is sent.
+    until: Instant,
+    /// When to come back, as it said.
+    come_back: Instant,
+}
+
+/// How long calls of one kind take, over all upstreams, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Spread {
+    /// Mean time at the upstream.
+    service: f64,
+    /// Mean time from here to there and back, with what was waited.
+    total: f64,
+    /// Mean deviation of that.
+    deviation: f64,
+}
+
+impl Spread {
+    fn observe(&mut self, service: f64, total: f64) {
+        self.service += MEAN_SMOOTHING * (service - self.service);
+        let error = total - self.total;
+        self.total += MEAN_SMOOTHING * error;
+        self.deviation += MEAN_SMOOTHING * (error.abs() - self.deviation);
+    }
+}
+
 /// The upstreams of one service as one entry daemon sees them.
 #[derive(Clone, Debug)]
 pub struct Picker {
     policy: Policy,
-    mean_ms: Option<f64>,
+    kinds: HashMap<KindKey, Spread>,
+    /// Share of answers of the service that were errors, lately.
+    errors: f64,
     arena: Vec<Upstream>,
     index: HashMap<(HostKey, String), UpstreamKey>,
 }
@@ -177,7 +265,13 @@
 impl Picker {
     /// Makes a picker without upstreams.
     pub fn new(policy: Policy) -> Picker {
-        Picker { policy, mean_ms: None, arena: Vec::new(), index: HashMap::new() }
+        Picker {
+            policy,
+            kinds: HashMap::new(),
+            errors: 0.0,
+            arena: Vec::new(),
+            index: HashMap::new(),
+        }
     }
 
     /// Takes in the present set of upstreams.
@@ -242,25 +336,59 @@
     /// Returns when to come back, where no upstream is left.
     pub fn choose(
         &self,
+        demand: Demand,
         now: Instant,
         random: u64,
         tried: &[UpstreamKey],
     ) -> Result<Choice, Duration> {
         let untried: Vec<UpstreamKey> =
             self.keys().filter(|key| self.at(*key).takes_work() && !tried.contains(key)).collect();
-        let open: Vec<UpstreamKey> =
-            untried.iter().copied().filter(|key| !self.at(*key).is_aside(now)).collect();
+        let is_open = |key: &UpstreamKey| {
+            let upstream = self.at(*key);
+            !upstream.is_aside(now) && !upstream.is_backing_off(demand.priority, now)
+        };
+        let open: Vec<UpstreamKey> = untried.iter().copied().filter(is_open).collect();
         let (near, far): (Vec<_>, Vec<_>) =
             open.iter().partition(|key| !self.policy.prefer_near || self.at(**key).known.near);
-        let best_near = self.best_of_few(&near, now, random);
-        let best_far = self.best_of_few(&far, now, random.rotate_left(32));
+        let best_near = self.best_of_few(&near, demand, now, random);
+        let best_far = self.best_of_few(&far, demand, now, random.rotate_left(32));
         match (best_near, best_far) {
-            (Some(near), Some(far)) if self.should_spill(near, far, now) => {
+            (Some(near), Some(far)) if self.should_spill(near, far, demand, now) => {
                 Ok(Choice { key: far, reason: Reason::Spill })
             }
             (Some(key), _) => Ok(Choice { key, reason: Reason::Near }),
             (None, Some(key)) => Ok(Choice { key, reason: Reason::NoneNear }),
-            (None, None) => self.last_resort(&untried, now),
+            (None, None) => self.last_resort(&untried, demand, now),
+        }
+    }
+
+    /// Returns after what time an attempt is so late for its kind that a second
+    /// one is worth its cost; `None` before the kind is known.
+    ///
+    /// In between, it is the last moment at which another answer can still be in
+    /// time. Not earlier than a few deviations above the mean, since then most
+    /// answers are only slow; not much later, since then they are lost.
+    pub fn late_after(&self, demand: Demand) -> Option<Duration> {
+        let spread = self.kinds.get(&demand.kind)?;
+        let objective = demand.objective.as_secs_f64() * 1e3;
+        let least = spread.total + EARLY_DEVIATIONS * spread.deviation;
+        let most = spread.total + LATE_DEVIATIONS * spread.deviation;
+        let ms = (objective - SECOND_TRY_ROOM * spread.total).clamp(least, most);
+        Some(Duration::from_secs_f64(ms / 1e3))
+    }
+
+    /// Returns whether an upstream has a slot free, as far as is known.
+    pub fn has_room(&self, key: UpstreamKey, now: Instant) -> bool {
+        let upstream = self.at(key);
+        upstream.load(now, self.policy) + 1.0 <= upstream.slots(now, self.policy)
+    }
+
+    /// Sets the upstreams of a host aside that gives no sign of life.
+    pub fn host_is_silent(&mut self, host: HostKey, now: Instant) {
+        for upstream in self.arena.iter_mut().filter(|upstream| upstream.known.host == host) {
+            if !upstream.is_aside(now) {
+                upstream.eject(now);
+            }
         }
     }
 
@@ -269,25 +397,36 @@
         self.at_mut(key).outstanding += 1;
     }
 
-    /// Records how an attempt ended.
-    pub fn ended(&mut self, key: UpstreamKey, outcome: Outcome, now: Instant) {
+    /// Records how an attempt of a call ended.
+    pub fn ended(&mut self, key: UpstreamKey, demand: Demand, outcome: Outcome, now: Instant) {
         let policy = self.policy;
-        let mean = self.mean();
-        if let Outcome::Answered { took, .. } = outcome {
-            let ms = took.as_secs_f64() * 1e3;
-            self.mean_ms = Some(self.mean_ms.map_or(ms, |old| old + MEAN_SMOOTHING * (ms - old)));
-        }
+        let relative = match outcome {
+            Outcome::Answered { service, total, .. } => {
+                Some(self.observe(demand.kind, service, total))
+            }
+            _ => None,
+        };
+        self.observe_error(outcome);
         let upstream = self.at_mut(key);
         upstream.outstanding = upstream.outstanding.saturating_sub(1);
         match outcome {
-            Outcome::Answered { took, load } => upstream.answered(took, load, mean, now),
-            Outcome::Refused { retry_after } => {
+            Outcome::Answered { load, .. } => {
+                upstream.answered(relative.unwrap_or(1.0), load, now);
+            }
+            Outcome::Erred => upstream.erred(now),
+            Outcome::Refused { retry_after, load } => {
                 upstream.failures = 0;
+                upstream.hint = load.map(|load| (load, now)).or(upstream.hint);
                 if policy.back_off {
-                    upstream.aside_until = Some(now + retry_after.min(EJECT_FOR));
+                    upstream.back_off = Some(BackOff {
+                        priority: demand.priority,
+                        until: now + retry_after.min(BACK_OFF_MOST),
+                        come_back: now + retry_after,
+                    });
                 }
             }
             Outcome::Unreached | Outcome::Failed => {
+                upstream.erred(now);
                 upstream.failures += 1;
                 let at_once = outcome == Outcome::Unreached;
                 if policy.eject && (at_once || upstream.failures >= EJECT_AFTER) {
@@ -298,8 +437,36 @@
         }
     }
 
-    fn mean(&self) -> f64 {
-        self.mean_ms.unwrap_or(FIRST_GUESS_MS)
+    /// Takes times in; returns the upstream's in means of its kind.
+    fn observe(&mut self, kind: KindKey, service: Duration, total: Duration) -> f64 {
+        let (service, total) = (service.as_secs_f64() * 1e3, total.as_secs_f64() * 1e3);
+        let has_room = self.kinds.len() < KINDS_KEPT;
+        match self.kinds.get_mut(&kind) {
+            Some(spread) => {
+                let relative = service / spread.service.max(0.1);
+                spread.observe(service, total);
+                relative
+            }
+            None if has_room => {
+                let deviation = total / 2.0;
+                self.kinds.insert(kind, Spread { service, total, deviation });
+                1.0
+            }
+            None => 1.0,
+        }
+    }
+
+    fn observe_error(&mut self, outcome: Outcome) {
+        let error = match outcome {
+            Outcome::Answered { .. } => 0.0,
+            Outcome::Erred | Outcome::Failed => 1.0,
+            Outcome::Refused { .. } | Outcome::Unreached | Outcome::Cancelled => return,
+        };
+        self.errors += SERVICE_ERROR_SMOOTHING * (error - self.errors);
+    }
+
+    fn mean_ms(&self, kind: KindKey) -> f64 {
+        self.kinds.get(&kind).map_or(FIRST_GUESS_MS, |spread| spread.service)
     }
 
     fn keys(&self) -> impl Iterator<Item = UpstreamKey> {
@@ -315,41 +482,61 @@
     }
 
     /// Returns the cheapest of a few candidates that begin at a random place.
-    fn best_of_few(&self, keys: &[UpstreamKey], now: Instant, random: u64) -> Option<UpstreamKey> {
+    fn best_of_few(
+        &self,
+        keys: &[UpstreamKey],
+        demand: Demand,
+        now: Instant,
+        random: u64,
+    ) -> Option<UpstreamKey> {
         let start = random as u32 as usize % keys.len().max(1);
         let few = if self.policy.compare { CANDIDATES } else { 1 };
         let round = keys.iter().cycle().skip(start).take(few.min(keys.len()));
-        let costs = round.map(|key| (self.cost(*key, now), *key));
+        let costs = round.map(|key| (self.cost(*key, demand, now), *key));
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
     }
 
-    /// Returns whether the way to another domain costs less than staying here.
+    /// Returns whether the way to another domain is better than staying here.
     ///
-    /// A full near side is left for a free far one that is cheaper with the way
+    /// A call whose near answer is expected well within its objective stays. A
+    /// full near side is left for a free far one that is cheaper with the way
     /// added. One that is not full is left only for a far one at half its cost,
     /// so that a domain at the edge of its capacity does not swing.
-    fn should_spill(&self, near: UpstreamKey, far: UpstreamKey, now: Instant) -> bool {
+    fn should_spill(
+        &self,
+        near: UpstreamKey,
+        far: UpstreamKey,
+        demand: Demand,
+        now: Instant,
+    ) -> bool {
         let (a, b) = (self.at(near), self.at(far));
+        let here = self.cost(near, demand, now);
+        let objective = demand.objective.as_secs_f64() * 1e3;
+        if here < objective * IN_TIME && self.is_known(demand.kind) {
+            return false;
+        }
         let full = a.load(now, self.policy) >= a.slots(now, self.policy);
         let free = b.load(now, self.policy) + 1.0 <= b.slots(now, self.policy);
-        let there = self.cost(far, now) + DISTANCE.as_secs_f64() * 1e3;
-        let here = self.cost(near, now) * if full { 1.0 } else { MUCH_CHEAPER };
-        free && there < here
+        let there = self.cost(far, demand, now) + DISTANCE.as_secs_f64() * 1e3;
+        free && there < here * if full { 1.0 } else { MUCH_CHEAPER }
+    }
+
+    fn is_known(&self, kind: KindKey) -> bool {
+        self.kinds.contains_key(&kind)
     }
 
     /// Returns the expected time of a call in milliseconds.
-    fn cost(&self, key: UpstreamKey, now: Instant) -> f64 {
+    fn cost(&self, key: UpstreamKey, demand: Demand, now: Instant) -> f64 {
         let upstream = self.at(key);
-        let latency = match self.policy.latency {
-            true => upstream.latency(now, self.mean()),
-            false => self.mean(),
-        };
+        let speed = if self.policy.latency { upstream.speed(now) } else { 1.0 };
+        let time = self.mean_ms(demand.kind) * speed;
         let load = upstream.load(now, self.policy) + 1.0;
         let slots = upstream.slots(now, self.policy);
         let wait = (load - slots).max(0.0) / slots;
+        let errors = (upstream.errors(now) - self.errors).max(0.0);
         // A call in a free slot still costs its neighbours something; the small
         // term makes the emptier of two idle upstreams win.
-        latency * (1.0 + wait + 0.2 * load / slots)
+        time * (1.0 + wait + 0.2 * load / slots) * (1.0 + ERROR_COST * errors)
     }
 
     /// Tries an upstream that is set aside, rather than none.
@@ -357,15 +544,23 @@
     /// Failure: a cut makes every upstream look dead for a moment. Symptom: the
     /// service stays refused after the cut ended. The one whose time ends first
     /// is tried, so the set is never empty while somebody announces the service.
-    fn last_resort(&self, untried: &[UpstreamKey], now: Instant) -> Result<Choice, Duration> {
-        let first = untried.iter().copied().min_by_key(|key| self.at(*key).aside_until);
-        let Some(key) = first else { return Err(EJECT_FOR) };
-        let until = self.at(key).aside_until.unwrap_or(now);
-        let refused = self.at(key).failures == 0;
-        if refused && until > now {
+    fn last_resort(
+        &self,
+        untried: &[UpstreamKey],
+        demand: Demand,
+        now: Instant,
+    ) -> Result<Choice, Duration> {
+        let backing_off = untried.iter().filter_map(|key| {
+            let upstream = self.at(*key);
+            let waits = upstream.is_backing_off(demand.priority, now) && !upstream.is_aside(now);
+            upstream.back_off.filter(|_| waits).map(|refused| refused.come_back)
+        });
+        if let Some(come_back) = backing_off.min() {
             // It is alive and said when to come back: that is the answer.
-            return Err(until - now);
+            return Err(come_back - now);
         }
+        let first = untried.iter().copied().min_by_key(|key| self.at(*key).aside_until);
+        let Some(key) = first else { return Err(EJECT_FOR) };
         Ok(Choice { key, reason: Reason::LastResort })
     }
 }
@@ -376,12 +571,15 @@
             known,
             present: true,
             outstanding: 0,
-            latency_ms: None,
-            latency_at: now,
+            speed: None,
+            speed_at: now,
             hint: None,
+            errors: 0.0,
+            errors_at: now,
             failures: 0,
             ejections: 0,
             aside_until: None,
+            back_off: None,
             answers: 0,
         }
     }
@@ -394,6 +592,10 @@
         self.known.doubted || self.aside_until.is_some_and(|until| now < until)
     }
 
+    fn is_backing_off(&self, priority: Priority, now: Instant) -> bool {
+        self.back_off.is_some_and(|refused| now < refused.until && priority >= refused.priority)
+    }
+
     /// Returns how many calls it may be expected to run at once.
     fn slots(&self, now: Instant, policy: Policy) -> f64 {
         let slots = f64::from(self.known.slots.max(1));
@@ -407,7 +609,7 @@
     }
 
     fn is_proven(&self, now: Instant) -> bool {
-        self.latency_ms.is_some() && now.saturating_duration_since(self.latency_at) < FORGET
+        self.speed.is_some() && now.saturating_duration_since(self.speed_at) < FORGET
     }
 
     fn load(&self, now: Instant, policy: Policy) -> f64 {
@@ -416,25 +618,39 @@
         fresh.map_or(own, |(load, _)| own.max(f64::from(load)))
     }
 
-    fn latency(&self, now: Instant, mean: f64) -> f64 {
-        let Some(observed) = self.latency_ms else { return mean };
-        let idle = now.saturating_duration_since(self.latency_at).as_secs_f64();
+    /// Returns the time of a call here, in means of its kind.
+    fn speed(&self, now: Instant) -> f64 {
+        let Some(observed) = self.speed else { return 1.0 };
+        let idle = now.saturating_duration_since(self.speed_at).as_secs_f64();
         let kept = 0.5_f64.powf(idle / FORGET.as_secs_f64());
-        mean + (observed - mean) * kept
+        1.0 + (observed - 1.0) * kept
     }
 
-    fn answered(&mut self, took: Duration, load: Option<u16>, mean: f64, now: Instant) {
-        let ms = took.as_secs_f64() * 1e3;
-        let old = self.latency_ms.map_or(ms, |_| self.latency(now, mean));
-        self.latency_ms = Some(old + SMOOTHING * (ms - old));
-        self.latency_at = now;
+    fn answered(&mut self, relative: f64, load: Option<u16>, now: Instant) {
+        let old = self.speed.map_or(relative, |_| self.speed(now));
+        self.speed = Some(old + SMOOTHING * (relative - old));
+        self.speed_at = now;
         self.hint = load.map(|load| (load, now));
+        self.errors = self.errors(now) * (1.0 - ERROR_SMOOTHING);
+        self.errors_at = now;
         self.failures = 0;
         self.ejections = 0;
         self.aside_until = None;
         self.answers = self.answers.saturating_add(1);
     }
 
+    /// Returns the share of errors, less what is forgiven by now.
+    fn errors(&self, now: Instant) -> f64 {
+        let idle = now.saturating_duration_since(self.errors_at).as_secs_f64();
+        self.errors * 0.5_f64.powf(idle / FORGIVE.as_secs_f64())
+    }
+
+    fn erred(&mut self, now: Instant) {
+        let errors = self.errors(now);
+        self.errors = errors + ERROR_SMOOTHING * (1.0 - errors);
+        self.errors_at = now;
+    }
+
     fn eject(&mut self, now: Instant) {
         let time = EJECT_FOR * 2_u32.pow(self.ejections.min(5));
         self.ejections += 1;
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -6,7 +6,7 @@
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::membership::record::{Health, Record};
 use cicadashift_core::membership::table::Table;
-use cicadashift_core::request::choose::{Known, Picker, Policy};
+use cicadashift_core::request::choose::{Demand, Known, Picker, Policy};
 use cicadashift_core::request::gate::{
     Admission, Arrival, CallerKey, End, Gate, KindKey, Ticket, Wake,
 };
@@ -179,6 +179,11 @@
     ) {
         let now = Instant::now();
         let mut picker = Picker::new(Policy::ALL);
+        let demand = Demand {
+            kind: KindKey::default(),
+            priority: Priority::NORMAL,
+            objective: Duration::ZERO,
+        };
         for set in sets {
             let known = set.iter().map(|n| Known {
                 host: HostKey(*n),
@@ -190,7 +195,7 @@
             });
             picker.sync(known, now);
             prop_assert_eq!(picker.len(), set.len());
-            if let Ok(choice) = picker.choose(now, 11, &[]) {
+            if let Ok(choice) = picker.choose(demand, now, 11, &[]) {
                 prop_assert!(set.contains(&picker.known(choice.key).host.0));
                 prop_assert!(choice.key.0 < 20, "places are used again");
             }
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -4,7 +4,7 @@
 use cicadashift_core::config::Priority;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::Readiness;
-use cicadashift_core::request::choose::{Known, Outcome, Picker, Policy, UpstreamKey};
+use cicadashift_core::request::choose::{Demand, Known, Outcome, Picker, Policy, UpstreamKey};
 use cicadashift_core::request::gate::{
     Admission, Arrival, CallerKey, End, Gate, KindKey, Ticket, Wake,
 };
@@ -62,6 +62,22 @@
     }
 }
 
+fn demand(case: &TestCase) -> Demand {
+    Demand {
+        kind: KindKey(HostKey::of(arg(case, "kind", "any")).0),
+        priority: priority(case),
+        objective: Duration::from_millis(number(case, "objective", 0)),
+    }
+}
+
+fn priority(case: &TestCase) -> Priority {
+    match arg(case, "priority", "normal") {
+        "low" => Priority::LOW,
+        "high" => Priority::HIGH,
+        _ => Priority::NORMAL,
+    }
+}
+
 const ALLOWANCE: Allowance = Allowance { earned: 0.2, saved: 20.0 };
 
 impl World {
@@ -76,11 +92,7 @@
 
     fn arrive(&mut self, case: &TestCase) -> String {
         let deadline = self.now() + Duration::from_millis(number(case, "deadline", 1000));
-        let priority = match arg(case, "priority", "normal") {
-            "low" => Priority::LOW,
-            "high" => Priority::HIGH,
-            _ => Priority::NORMAL,
-        };
+        let priority = priority(case);
         let caller = CallerKey(HostKey::of(arg(case, "caller", "someone")).0);
         let mut out = String::new();
         for name in list(case, "call") {
@@ -185,7 +197,7 @@
         for _ in 0..number(case, "times", 1) {
             self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
             let random = self.random ^ (self.random >> 29);
-            let line = match self.picker.choose(self.now(), random, &tried) {
+            let line = match self.picker.choose(demand(case), self.now(), random, &tried) {
                 Ok(choice) => {
                     if arg(case, "dry", "no") == "no" {
                         self.picker.started(choice.key);
@@ -202,21 +214,22 @@
     fn outcome(&mut self, case: &TestCase) -> String {
         let time = Duration::from_millis(number(case, "ms", 5));
         let outcome = match arg(case, "as", "answered") {
-            "refused" => Outcome::Refused { retry_after: time },
+            "refused" => Outcome::Refused { retry_after: time, load: None },
             "unreached" => Outcome::Unreached,
             "failed" => Outcome::Failed,
+            "erred" => Outcome::Erred,
             "cancelled" => Outcome::Cancelled,
-            _ => Outcome::Answered { took: time, load: None },
+            _ => Outcome::Answered { service: time, total: time, load: None },
         };
         let load = case.args.get("load").map(|_| number(case, "load", 0) as u16);
         let outcome = match outcome {
-            Outcome::Answered { took, .. } => Outcome::Answered { took, load },
+            Outcome::Answered { service, total, .. } => Outcome::Answered { service, total, load },
             other => other,
         };
         for _ in 0..number(case, "times", 1) {
             for name in list(case, "of") {
                 if let Some(key) = self.key(&name) {
-                    self.picker.ended(key, outcome, self.now());
+                    self.picker.ended(key, demand(case), outcome, self.now());
                 }
             }
         }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -32,6 +32,9 @@
 pub const RETRY_AFTER_MS: &str = "cicadashift-retry-after-ms";
 /// On answers between daemons: calls now at the upstream and waiting for it.
 pub const LOAD: &str = "cicadashift-load";
+/// On answers between daemons: microseconds from sending to the upstream to the
+/// head of its answer.
+pub const SERVICE_US: &str = "cicadashift-service-us";
 /// Every header of ours starts with this; those from outside that are not
 /// listed for callers are removed.
 pub const PREFIX: &str = "cicadashift-";
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -49,7 +49,7 @@
         if now >= next_lost && d.settings.interface == InterfaceKind::Platform {
             next_lost = now + LOST_EVERY;
             if let Some(host) = fastrand::choice(&d.members.lost()) {
-                send(&d, *host, Kind::Ping, Vec::new()).await;
+                ping(&d, *host).await;
             }
         }
         if !d.members.is_quiet() {
@@ -65,6 +65,11 @@
     }
 }
 
+/// Asks a member for a sign of life.
+pub async fn ping(d: &Daemon, host: HostKey) {
+    send(d, host, Kind::Ping, Vec::new()).await;
+}
+
 /// Takes datagrams in until cancelled.
 pub async fn receive(d: Arc<Daemon>) {
     let mut buf = vec![0; MAX_DATAGRAM + 1];
@@ -136,6 +141,7 @@
     differences: &mut Differences,
 ) {
     let Datagram { from: host, kind, active, digest, records } = datagram;
+    d.liveness.heard(host, d.clock.now());
     if !records.is_empty() {
         d.members.apply(d, records);
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 pub mod gates;
 pub mod gateway;
 pub mod gossip;
+pub mod liveness;
 pub mod members;
 pub mod mesh;
 pub mod reader;
@@ -99,6 +100,8 @@
     pub versions: versions::Versions,
     /// Membership.
     pub members: members::Members,
+    /// Signs of life of other hosts.
+    pub liveness: liveness::Liveness,
     /// Upstreams as chosen from here.
     pub services: services::Services,
     /// Upstreams on this host.
@@ -272,6 +275,7 @@
             metrics: Metrics::new(settings.metrics)?,
             versions: versions::Versions::new(&settings, me, life, clock.clone()),
             members: members::Members::new(&settings, me, life, ports.mesh, clock.now()),
+            liveness: liveness::Liveness::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(),
             record: record::Record::new(),
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -1,4 +1,9 @@
 //! Choosing an upstream, sending the call there, and deciding what follows.
+//!
+//! A call is sent to one upstream after the other. If an answer is so late for
+//! its kind that it may be lost, or the host it is to come from gives no sign of
+//! life, a call that may be repeated is sent to a second one beside the first,
+//! and the first whole answer is passed on.
 
 use super::answer::{self, Answer, Got};
 use super::entry::{refuse, unknown};
@@ -6,11 +11,12 @@
 use super::story::{Choose, Missed};
 use super::tracked::Tracked;
 use super::{exit, headers};
-use crate::daemon::Daemon;
 use crate::daemon::services::{Flight, Target};
+use crate::daemon::{Daemon, liveness};
 use cicadashift_core::config::Route;
 use cicadashift_core::request::MIN_RETRY_AFTER;
-use cicadashift_core::request::choose::{Outcome, Reason, UpstreamKey};
+use cicadashift_core::request::choose::{Demand, Outcome, Reason, UpstreamKey};
+use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::{Attempt, Call, Verdict};
 use cicadashift_http::body::Body;
 use cicadashift_http::client::{IDLE_TIME, SendError};
@@ -20,13 +26,15 @@
 use cicadashift_wire::call::{self, Context};
 use cicadashift_wire::rpc;
 use http_body_util::BodyExt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// What the exit daemon has more than the deadline to say what became of a call:
 /// a way there and back between failure domains, and its own processing.
-const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
 /// A matched call on its way.
 pub struct Work {
@@ -56,6 +64,16 @@
     pub head: Parts,
 }
 
+impl Work {
+    fn demand(&self, now: Instant) -> Demand {
+        Demand {
+            kind: KindKey(self.kind),
+            priority: self.route.priority,
+            objective: self.objective.saturating_duration_since(now),
+        }
+    }
+}
+
 /// Returns the service that serves a call, by the weights of the route's parts.
 ///
 /// A call stays in its part: what does not fit there is refused, not moved, so
@@ -89,6 +107,18 @@
     failure: Option<Answer>,
 }
 
+impl SoFar {
+    /// Takes in how an attempt ended, other than with an answer to pass on.
+    fn missed(&mut self, attempt: Attempt, reason: &'static str) {
+        if let Attempt::NotRun { retry_after, .. } = attempt {
+            let soonest = self.last_refusal.map_or(retry_after, |(_, wait)| wait.min(retry_after));
+            self.last_refusal = Some((reason, soonest));
+        }
+        self.arrivals += u32::from(attempt.has_arrived());
+        self.may_have_run |= attempt == Attempt::Unknown;
+    }
+}
+
 /// Sends the call until there is something to tell its caller.
 pub async fn run(d: &Arc<Daemon>, work: Work, mut payload: Payload) -> Response<Body> {
     d.services.earn(d, &work.service);
@@ -99,7 +129,7 @@
             let (reason, wait) = so_far.last_refusal.unwrap_or(("too-late", MIN_RETRY_AFTER));
             return give_up(d, &work, so_far, reason, wait);
         }
-        let target = match d.services.choose(&work.service, now, &so_far.tried) {
+        let target = match d.services.choose(&work.service, work.demand(now), now, &so_far.tried) {
             Ok(target) => target,
             Err(wait) => {
                 let (reason, wait) = so_far.last_refusal.unwrap_or(("no-upstream", wait));
@@ -108,7 +138,8 @@
         };
         so_far.tried.push(target.choice.key);
         log_choice(d, &work, &target, so_far.tried.len() as u32);
-        let (attempt, reason) = match attempt(d, &work, &target, &mut payload).await {
+        let may_have_run = so_far.may_have_run;
+        let (attempt, reason) = match attempt(d, &work, &target, &mut payload, &mut so_far).await {
             Got::Answer(answer) if !answer.is_failure() => return answer.into_response(),
             Got::Answer(answer) => {
                 so_far.failure = Some(answer);
@@ -116,31 +147,38 @@
             }
             Got::None(attempt, reason) => (attempt, reason),
         };
-        if let Attempt::NotRun { retry_after, .. } = attempt {
-            so_far.last_refusal = Some((reason, retry_after));
-        }
-        so_far.arrivals += u32::from(attempt.has_arrived());
-        let verdict = decide(d, &work, &payload, &so_far, attempt);
+        so_far.missed(attempt, reason);
+        let verdict = decide(d, &work, &payload, &so_far, attempt, may_have_run);
         log_missed(d, &work, &target, attempt, reason, verdict, now);
         match verdict {
             Verdict::Again => d.metrics.incr("call.retried"),
-            Verdict::Refuse { retry_after } => return refuse(d, &work, reason, retry_after),
+            Verdict::Refuse { retry_after } => {
+                // Others that refused may be free sooner than the last one.
+                let wait = so_far.last_refusal.map_or(retry_after, |(_, wait)| wait);
+                return refuse(d, &work, reason, retry_after.min(wait.max(MIN_RETRY_AFTER)));
+            }
             Verdict::Answer | Verdict::Unknown => {
                 return give_up_unknown(d, &work, so_far, reason);
             }
         }
-        so_far.may_have_run |= attempt == Attempt::Unknown;
     }
 }
 
-fn decide(d: &Daemon, work: &Work, payload: &Payload, so_far: &SoFar, attempt: Attempt) -> Verdict {
+fn decide(
+    d: &Daemon,
+    work: &Work,
+    payload: &Payload,
+    so_far: &SoFar,
+    attempt: Attempt,
+    may_have_run: bool,
+) -> Verdict {
     let call = Call {
         repeatable: work.repeatable,
         replayable: payload.is_left(),
         attempts: so_far.tried.len() as u32,
         arrivals: so_far.arrivals,
         allowed: work.allowed,
-        may_have_run: so_far.may_have_run,
+        may_have_run,
     };
     let left = work.deadline.saturating_duration_since(d.clock.now());
     let random = fastrand::u64(..);
@@ -150,17 +188,112 @@
     verdict.unwrap_or(Verdict::Unknown)
 }
 
-async fn attempt(d: &Arc<Daemon>, work: &Work, target: &Target, payload: &mut Payload) -> Got {
-    let flight = Flight::new(d, &work.service, target.choice.key);
+/// Sends the call to an upstream, and to a second one if the first is late.
+async fn attempt(
+    d: &Arc<Daemon>,
+    work: &Work,
+    target: &Target,
+    payload: &mut Payload,
+    so_far: &mut SoFar,
+) -> Got {
+    let Some(body) = payload.take() else {
+        return Got::None(Attempt::Unknown, "body-spent");
+    };
+    let mut first = Box::pin(send(d, work, target, body));
+    let may_double = work.repeatable && payload.is_left() && so_far.arrivals + 1 < work.allowed;
+    if !may_double {
+        return first.await;
+    }
+    let ended = race(first.as_mut(), late(d, work, target)).await;
+    let why = match ended {
+        Raced::First(got) => return got,
+        Raced::Second(why) => why,
+    };
+    let now = d.clock.now();
+    let spare = d.services.choose_spare(&work.service, work.demand(now), now, &so_far.tried);
+    let (Some(spare), Some(body)) = (spare, payload.take()) else { return first.await };
+    so_far.tried.push(spare.choice.key);
+    so_far.arrivals += 1;
+    d.metrics.incr("call.doubled");
+    log_missed(d, work, target, Attempt::Unknown, why, Verdict::Again, work.started);
+    log_choice(d, work, &spare, so_far.tried.len() as u32);
+    let second = Box::pin(send(d, work, &spare, body));
+    better_of(first, second).await
+}
+
+/// Returns why a second attempt is due, once it is.
+async fn late(d: &Arc<Daemon>, work: &Work, target: &Target) -> &'static str {
+    let demand = work.demand(d.clock.now());
+    let after = d.services.with(&work.service, |service| service.picker.late_after(demand));
+    let slow = async {
+        match after.flatten() {
+            Some(time) => smol::Timer::after(time).await,
+            None => std::future::pending().await,
+        };
+        "late"
+    };
+    let silent = async {
+        liveness::silent(d, target.host).await;
+        d.metrics.incr("host.silent");
+        log::warn!("host of {} gives no sign of life", target.instance);
+        d.services.host_is_silent(target.host, d.clock.now());
+        "host-silent"
+    };
+    smol::future::or(slow, silent).await
+}
+
+/// What ended first.
+enum Raced<A, B> {
+    First(A),
+    Second(B),
+}
+
+async fn race<A, B>(
+    first: impl Future<Output = A>,
+    second: impl Future<Output = B>,
+) -> Raced<A, B> {
+    smol::future::or(async { Raced::First(first.await) }, async { Raced::Second(second.await) })
+        .await
+}
+
+type Sending<F> = Pin<Box<F>>;
+
+/// Returns the first good answer of two, or else what says most.
+async fn better_of<F, G>(mut first: Sending<F>, mut second: Sending<G>) -> Got
+where
+    F: Future<Output = Got>,
+    G: Future<Output = Got>,
+{
+    let (got, other) = match race(first.as_mut(), second.as_mut()).await {
+        Raced::First(got) if is_good(&got) => return got,
+        Raced::Second(got) if is_good(&got) => return got,
+        Raced::First(got) => (got, second.await),
+        Raced::Second(got) => (got, first.await),
+    };
+    match (got, other) {
+        (_, other) if is_good(&other) => other,
+        (Got::Answer(failure), _) | (_, Got::Answer(failure)) => Got::Answer(failure),
+        // What one of them left open stays open.
+        (Got::None(Attempt::Unknown, why), _) | (_, Got::None(Attempt::Unknown, why)) => {
+            Got::None(Attempt::Unknown, why)
+        }
+        (got, _) => got,
+    }
+}
+
+fn is_good(got: &Got) -> bool {
+    matches!(got, Got::Answer(answer) if !answer.is_failure())
+}
+
+async fn send(d: &Arc<Daemon>, work: &Work, target: &Target, body: Body) -> Got {
     let started = d.clock.now();
+    let demand = work.demand(started);
+    let flight = Flight::new(d, &work.service, target.choice.key, demand);
     let left = work.deadline.saturating_duration_since(started);
     let Some(to) = d.members.address(target.host) else {
         flight.end(Outcome::Unreached);
         return Got::None(Attempt::unreached(), "unreached");
     };
-    let Some(body) = payload.take() else {
-        return Got::None(Attempt::Unknown, "body-spent");
-    };
     let cx = context(d, work, target, left, started);
     let req = request(work, body);
     let sent = match target.host == d.me {
@@ -184,6 +317,7 @@
             return Got::None(Attempt::Unknown, "deadline");
         }
     };
+    d.liveness.heard(target.host, d.clock.now());
     read_answer(d, work, res, flight, started).await
 }
 
@@ -223,22 +357,24 @@
     started: Instant,
 ) -> Got {
     let (head, body) = res.into_parts();
+    let load = headers::number(&head.headers, call::LOAD).map(|load| load as u16);
     if let Some((attempt, reason)) = answer::refusal(&head) {
         flight.end(match attempt {
             Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
-            Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after },
+            Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after, load },
             Attempt::Unknown | Attempt::Answered => Outcome::Failed,
         });
         return Got::None(attempt, reason);
     }
-    let load = headers::number(&head.headers, call::LOAD).map(|load| load as u16);
+    let service = headers::number(&head.headers, call::SERVICE_US).map(Duration::from_micros);
     let left = work.deadline.saturating_duration_since(d.clock.now()) + ANSWER_MARGIN;
     match exec::timeout(left, answer::read(head, body)).await {
         Some(Ok(answer)) => {
-            let took = d.clock.now().saturating_duration_since(started);
+            let total = d.clock.now().saturating_duration_since(started);
+            let service = service.unwrap_or(total);
             flight.end(match answer.is_failure() {
-                true => Outcome::Failed,
-                false => Outcome::Answered { took, load },
+                true => Outcome::Erred,
+                false => Outcome::Answered { service, total, load },
             });
             Got::Answer(answer)
         }
@@ -309,20 +445,18 @@
         Reason::LastResort => "last-resort",
     };
     let left = work.deadline.saturating_duration_since(d.clock.now());
-    crate::logging::ordinary(
-        attempt == 1,
-        &Choose {
-            kind: "choose",
-            request: &work.request_id,
-            version: work.version,
-            service: &work.service,
-            upstream: &target.instance,
-            why,
-            attempt,
-            known: target.known,
-            left_ms: left.as_millis() as u64,
-        },
-    );
+    let line = Choose {
+        kind: "choose",
+        request: &work.request_id,
+        version: work.version,
+        service: &work.service,
+        upstream: &target.instance,
+        why,
+        attempt,
+        known: target.known,
+        left_ms: left.as_millis() as u64,
+    };
+    crate::logging::ordinary(attempt == 1, &line);
 }
 
 fn log_missed(
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -29,6 +29,11 @@
 /// this daemon has, so the request is refused as not run.
 const SURE_FOR: Duration = Duration::from_secs(5);
 
+/// What a call is given up before its caller does, so that the answer to that is
+/// still heard: a way to the caller and back, some 16 ms at most, and our own
+/// processing.
+const CALLER_MARGIN: Duration = Duration::from_millis(25);
+
 /// Answers one caller's request.
 pub async fn handle(d: Arc<Daemon>, peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
     let counted = Counted::new(&d);
@@ -64,7 +69,8 @@
         return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the route's limit\n");
     }
     let asked = headers::number(&head.headers, d.dialect.deadline_ms.as_str());
-    let time = asked.map_or(route.deadline(), |ms| Duration::from_millis(ms).min(route.deadline()));
+    let asked = asked.map(|ms| Duration::from_millis(ms).saturating_sub(CALLER_MARGIN));
+    let time = asked.map_or(route.deadline(), |asked| asked.min(route.deadline()));
     let left = headers::number(&head.headers, call::ATTEMPTS);
     let most = route.max_attempts.unwrap_or(MAX_ATTEMPTS);
     let allowed = left.map_or(most, |left| left.min(u64::from(most)) as u32);
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -131,7 +131,9 @@
     let idle = idle_time(&head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
     let load = local.load();
+    let service = d.clock.now().saturating_duration_since(started);
     headers::set(&mut head.headers, call::LOAD, &(load.running + load.queued).to_string());
+    headers::set(&mut head.headers, call::SERVICE_US, &service.as_micros().to_string());
     let d = d.clone();
     let whole = Tracked::new(incoming, move |whole| {
         let now = d.clock.now();
@@ -211,7 +213,11 @@
     let reason = refusal.to_string();
     log_admit(d, cx, &reason, arrived, local);
     d.metrics.incr("exit.refused");
-    headers::not_run(&reason, refusal.retry_after(), false)
+    let mut res = headers::not_run(&reason, refusal.retry_after(), false);
+    if let Some(load) = local.map(|local| local.load()) {
+        headers::set(res.headers_mut(), call::LOAD, &(load.running + load.queued).to_string());
+    }
+    res
 }
 
 fn not_run(
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -3,7 +3,9 @@
 use super::{Daemon, lock};
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::{Health, Record};
-use cicadashift_core::request::choose::{Choice, Known, Outcome, Picker, Policy, UpstreamKey};
+use cicadashift_core::request::choose::{
+    Choice, Demand, Known, Outcome, Picker, Policy, UpstreamKey,
+};
 use cicadashift_core::request::retry::{Allowance, Budget};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -24,6 +26,19 @@
     pub budget: Budget,
 }
 
+impl Service {
+    fn start(&mut self, choice: Choice) -> Target {
+        self.picker.started(choice.key);
+        let known = self.picker.known(choice.key);
+        let (host, instance) = (known.host, known.instance.clone());
+        Target { choice, host, instance, known: self.picker.len() }
+    }
+}
+
+/// Time to come back where nobody has announced the service yet: reports come
+/// every second or two.
+const UNANNOUNCED_WAIT: Duration = Duration::from_millis(600);
+
 type Shard = Mutex<HashMap<String, Service>>;
 
 /// Upstreams of all services.
@@ -101,17 +116,41 @@
     pub fn choose(
         &self,
         name: &str,
+        demand: Demand,
         now: Instant,
         tried: &[UpstreamKey],
     ) -> Result<Target, Duration> {
         let chosen = self.with(name, |service| {
-            let choice = service.picker.choose(now, fastrand::u64(..), tried)?;
-            service.picker.started(choice.key);
-            let known = service.picker.known(choice.key);
-            let (host, instance) = (known.host, known.instance.clone());
-            Ok(Target { choice, host, instance, known: service.picker.len() })
+            let choice = service.picker.choose(demand, now, fastrand::u64(..), tried)?;
+            Ok(service.start(choice))
         });
-        chosen.unwrap_or(Err(Duration::from_secs(1)))
+        chosen.unwrap_or(Err(UNANNOUNCED_WAIT))
+    }
+
+    /// Chooses an upstream for a second attempt beside the first and pays for it;
+    /// `None` where none has room or the budget is spent.
+    pub fn choose_spare(
+        &self,
+        name: &str,
+        demand: Demand,
+        now: Instant,
+        tried: &[UpstreamKey],
+    ) -> Option<Target> {
+        let chosen = self.with(name, |service| {
+            let choice = service.picker.choose(demand, now, fastrand::u64(..), tried).ok()?;
+            let pays = service.picker.has_room(choice.key, now) && service.budget.spend();
+            pays.then(|| service.start(choice))
+        });
+        chosen.flatten()
+    }
+
+    /// Sets a host's upstreams aside in every service.
+    pub fn host_is_silent(&self, host: HostKey, now: Instant) {
+        for shard in &self.shards {
+            for service in lock(shard).values_mut() {
+                service.picker.host_is_silent(host, now);
+            }
+        }
     }
 
     /// Returns how many upstreams of a service take work.
@@ -132,13 +171,14 @@
     d: Arc<Daemon>,
     service: String,
     key: UpstreamKey,
+    demand: Demand,
     ended: bool,
 }
 
 impl Flight {
     /// Follows an attempt that [`Services::choose`] began.
-    pub fn new(d: &Arc<Daemon>, service: &str, key: UpstreamKey) -> Flight {
-        Flight { d: d.clone(), service: service.to_string(), key, ended: false }
+    pub fn new(d: &Arc<Daemon>, service: &str, key: UpstreamKey, demand: Demand) -> Flight {
+        Flight { d: d.clone(), service: service.to_string(), key, demand, ended: false }
     }
 
     /// Records how it ended.
@@ -149,7 +189,9 @@
     fn record(&mut self, outcome: Outcome) {
         self.ended = true;
         let now = self.d.clock.now();
-        self.d.services.with(&self.service, |service| service.picker.ended(self.key, outcome, now));
+        self.d.services.with(&self.service, |service| {
+            service.picker.ended(self.key, self.demand, outcome, now);
+        });
     }
 }
 
