Leave silent hosts alone, ask the upstream once after a start

A daemon that is restarted beside a living upstream had none until the next report.

Change: unanswered calls and pings are counted per host over all calls; a host without a sign for 450 ms gets nothing until something comes from it, and a repeatable call that is under way to it is given up or sent elsewhere. After a start the upstream is asked once who it is. A back-off tells the whole time to come back, not what is left of it.

Ruled out: setting the host aside for half a second at a time; each return cost a call that may not be repeated.

--- a/crates/core/src/request/choose.rs
+++ b/crates/core/src/request/choose.rs
@@ -213,6 +213,8 @@
     /// Share of answers that were errors, lately, and when that was observed.
     errors: f64,
     errors_at: Instant,
+    /// Whether its host gives no sign of life.
+    silent: bool,
     failures: u32,
     ejections: u32,
     aside_until: Option<Instant>,
@@ -227,8 +229,8 @@
     priority: Priority,
     /// Until when no call of that rank or a lower one is sent.
     until: Instant,
-    /// When to come back, as it said.
-    come_back: Instant,
+    /// After what time to come back, as it said.
+    retry_after: Duration,
 }
 
 /// How long calls of one kind take, over all upstreams, in milliseconds.
@@ -383,12 +385,10 @@
         upstream.load(now, self.policy) + 1.0 <= upstream.slots(now, self.policy)
     }
 
-    /// Sets the upstreams of a host aside that gives no sign of life.
-    pub fn host_is_silent(&mut self, host: HostKey, now: Instant) {
+    /// Takes in that a host gives no sign of life, or does again.
+    pub fn set_silent(&mut self, host: HostKey, silent: bool) {
         for upstream in self.arena.iter_mut().filter(|upstream| upstream.known.host == host) {
-            if !upstream.is_aside(now) {
-                upstream.eject(now);
-            }
+            upstream.silent = silent;
         }
     }
 
@@ -421,7 +421,7 @@
                     upstream.back_off = Some(BackOff {
                         priority: demand.priority,
                         until: now + retry_after.min(BACK_OFF_MOST),
-                        come_back: now + retry_after,
+                        retry_after,
                     });
                 }
             }
@@ -553,11 +553,12 @@
         let backing_off = untried.iter().filter_map(|key| {
             let upstream = self.at(*key);
             let waits = upstream.is_backing_off(demand.priority, now) && !upstream.is_aside(now);
-            upstream.back_off.filter(|_| waits).map(|refused| refused.come_back)
+            upstream.back_off.filter(|_| waits).map(|refused| refused.retry_after)
         });
-        if let Some(come_back) = backing_off.min() {
-            // It is alive and said when to come back: that is the answer.
-            return Err(come_back - now);
+        if let Some(retry_after) = backing_off.min() {
+            // It is alive and said when to come back: that is the answer, and no
+            // less of it a moment later, since its queue is as long still.
+            return Err(retry_after);
         }
         let first = untried.iter().copied().min_by_key(|key| self.at(*key).aside_until);
         let Some(key) = first else { return Err(EJECT_FOR) };
@@ -576,6 +577,7 @@
             hint: None,
             errors: 0.0,
             errors_at: now,
+            silent: false,
             failures: 0,
             ejections: 0,
             aside_until: None,
@@ -585,7 +587,7 @@
     }
 
     fn takes_work(&self) -> bool {
-        self.present && self.known.readiness != Readiness::Draining
+        self.present && self.known.readiness != Readiness::Draining && !self.silent
     }
 
     fn is_aside(&self, now: Instant) -> bool {
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -56,6 +56,13 @@
         }
         "upstreams" => world.upstreams(case),
         "choose" => world.choose(case),
+        "silent" => {
+            let silent = arg(case, "silent", "yes") == "yes";
+            for name in list(case, "hosts") {
+                world.picker.set_silent(HostKey::of(&name), silent);
+            }
+            String::new()
+        }
         "outcome" => world.outcome(case),
         "retry" => world.retry(case),
         other => format!("no such step: {other}\n"),
--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -5,6 +5,7 @@
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_http::hyper::Method;
 use cicadashift_http::hyper::header::HeaderName;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     pub expected_instance: Option<HeaderName>,
     /// On an upstream's answer: it did not run the call.
     pub not_run: HeaderName,
+    /// On an upstream's answer: calls running, waiting, and slots, in this order.
+    pub load: Option<HeaderName>,
     /// On an upstream's refusal: which instance it is.
     pub instance: Option<HeaderName>,
     /// Whether upstreams repeat the request id in their answers. An answer with
@@ -68,6 +71,8 @@
     pub configs: Vec<Config>,
     /// Which of them reach whom.
     pub selectors: Vec<Selector>,
+    /// Path by which each service's upstreams tell how they are.
+    pub health_paths: BTreeMap<String, String>,
 }
 
 /// Why bytes are not what they should be.
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -1,6 +1,6 @@
 //! Probes and gossip over UDP.
 
-use super::{Daemon, catch_up, source};
+use super::{Daemon, catch_up, liveness, source};
 use crate::settings::InterfaceKind;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::detector::Probe;
@@ -39,6 +39,7 @@
 /// Probes and tells until cancelled.
 pub async fn run(d: Arc<Daemon>) {
     let mut next_lost = d.clock.now();
+    let mut last_round = next_lost;
     loop {
         let quiet = d.members.is_quiet();
         smol::Timer::after(if quiet { QUIET_TICK } else { TICK }).await;
@@ -46,6 +47,8 @@
         for probe in d.members.tick(now, fastrand::u64(..)) {
             act(&d, probe).await;
         }
+        liveness::round(&d, now.saturating_duration_since(last_round)).await;
+        last_round = now;
         if now >= next_lost && d.settings.interface == InterfaceKind::Platform {
             next_lost = now + LOST_EVERY;
             if let Some(host) = fastrand::choice(&d.members.lost()) {
@@ -94,11 +97,11 @@
             send(d, helper, Kind::PingFor { target }, Vec::new()).await;
         }
         Probe::Suspect(host) => {
-            log::info!("member {} is suspected", name(d, host));
+            log::info!("member {} is suspected", d.members.name_of(host));
             d.members.believe(d, host, Health::Suspect);
         }
         Probe::Dead(host) => {
-            log::warn!("member {} is taken for dead", name(d, host));
+            log::warn!("member {} is taken for dead", d.members.name_of(host));
             d.members.believe(d, host, Health::Dead);
         }
         Probe::Paused(gap) => {
@@ -141,7 +144,7 @@
     differences: &mut Differences,
 ) {
     let Datagram { from: host, kind, active, digest, records } = datagram;
-    d.liveness.heard(host, d.clock.now());
+    liveness::heard(d, host);
     if !records.is_empty() {
         d.members.apply(d, records);
     }
@@ -233,7 +236,3 @@
     // A datagram that cannot be sent is one that was lost; probes tell.
     let _lost = d.udp.send_to(&buf, to).await;
 }
-
-fn name(d: &Daemon, host: HostKey) -> String {
-    d.members.get(host).map_or_else(|| format!("{:016x}", host.0), |record| record.name)
-}
--- /dev/null
+++ b/src/daemon/greet.rs
@@ -0,0 +1,71 @@
+//! Asking the upstream on this host who it is, once after a start.
+//!
+//! Failure: a daemon is restarted beside an upstream that lives on. Symptom: the
+//! upstream gets no work until its next report, some 0.75 s on average, and its
+//! service is short of it for that time. One question after the start makes good
+//! for it. Reports remain what is believed from then on.
+
+use super::Daemon;
+use super::request::headers;
+use cicadashift_core::membership::record::Readiness;
+use cicadashift_edge::interface::Announcement;
+use cicadashift_http::body;
+use cicadashift_http::client::Pool;
+use cicadashift_http::hyper::{Request, StatusCode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for an answer; an upstream that is busy with its slots takes a while.
+const ASK_TIME: Duration = Duration::from_millis(800);
+/// Questions at most; after them the upstream's own report is near.
+const ATTEMPTS: u32 = 3;
+/// Pause between two questions.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Step in which the first configuration is waited for: it tells where to ask.
+const STEP: Duration = Duration::from_millis(20);
+/// Longest answer.
+const MAX_BODY: usize = 4096;
+
+/// Asks until the upstream is known.
+pub async fn run(d: Arc<Daemon>) {
+    let Some(address) = d.settings.upstream else { return };
+    while d.versions.running_version() == 0 {
+        smol::Timer::after(STEP).await;
+    }
+    for _ in 0..ATTEMPTS {
+        if !d.gates.all().is_empty() {
+            return;
+        }
+        if let Some(announced) = ask(&d, address).await
+            && d.gates.all().is_empty()
+        {
+            log::info!("upstream {} was found by asking it", announced.instance);
+            return d.gates.announce(&d, announced);
+        }
+        smol::Timer::after(PAUSE).await;
+    }
+}
+
+async fn ask(d: &Daemon, address: SocketAddr) -> Option<Announcement> {
+    let service = d.settings.services.first()?;
+    let path = d.versions.health_path(service)?;
+    let req = Request::get(path).header("host", address.to_string()).body(body::empty()).ok()?;
+    let answer = Pool::new(1).exchange(address, req, MAX_BODY, ASK_TIME).await;
+    let res = answer.inspect_err(|err| log::info!("upstream {address}: {err}")).ok()?;
+    if res.status() != StatusCode::OK {
+        return None;
+    }
+    let instance = headers::text(res.headers(), d.dialect.instance.as_ref()?.as_str())?;
+    let load = headers::text(res.headers(), d.dialect.load.as_ref()?.as_str())?;
+    Some(Announcement {
+        instance: instance.to_string(),
+        service: service.clone(),
+        address,
+        slots: load.rsplit(',').next()?.trim().parse().ok().filter(|slots| *slots > 0)?,
+        readiness: Readiness::Ready,
+        // Every report of the instance itself is newer.
+        sequence: 0,
+        cold_for: Duration::ZERO,
+    })
+}
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -166,6 +166,11 @@
         lock(&self.inner).table.own().clone()
     }
 
+    /// Returns a host's name for people.
+    pub fn name_of(&self, host: HostKey) -> String {
+        self.get(host).map_or_else(|| format!("{:016x}", host.0), |record| record.name)
+    }
+
     /// Returns a host's record.
     pub fn get(&self, host: HostKey) -> Option<Record> {
         lock(&self.inner).table.get(host).cloned()
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 pub mod gates;
 pub mod gateway;
 pub mod gossip;
+pub mod greet;
 pub mod liveness;
 pub mod members;
 pub mod mesh;
@@ -364,6 +365,7 @@
         caller_service: None,
         expected_instance: None,
         not_run: HeaderName::from_static(call::OUTCOME),
+        load: None,
         instance: None,
         echoes_request_id: false,
         fractional_retry_after: false,
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -36,6 +36,9 @@
 /// a way there and back between failure domains, and its own processing.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
+/// Why an attempt at a host without a sign of life is given up.
+const HOST_SILENT: &str = "host-silent";
+
 /// A matched call on its way.
 pub struct Work {
     /// Names the call.
@@ -201,17 +204,19 @@
     };
     let mut first = Box::pin(send(d, work, target, body));
     let may_double = work.repeatable && payload.is_left() && so_far.arrivals + 1 < work.allowed;
-    if !may_double {
-        return first.await;
-    }
-    let ended = race(first.as_mut(), late(d, work, target)).await;
-    let why = match ended {
+    let why = match race(first.as_mut(), late(d, work, target, may_double)).await {
         Raced::First(got) => return got,
         Raced::Second(why) => why,
     };
     let now = d.clock.now();
-    let spare = d.services.choose_spare(&work.service, work.demand(now), now, &so_far.tried);
-    let (Some(spare), Some(body)) = (spare, payload.take()) else { return first.await };
+    let spare = match may_double {
+        true => d.services.choose_spare(&work.service, work.demand(now), now, &so_far.tried),
+        false => None,
+    };
+    let (spare, body) = match (spare, payload.take()) {
+        (Some(spare), Some(body)) => (spare, body),
+        _ => return without_spare(d, work, target, first, why).await,
+    };
     so_far.tried.push(spare.choice.key);
     so_far.arrivals += 1;
     d.metrics.incr("call.doubled");
@@ -221,12 +226,36 @@
     better_of(first, second).await
 }
 
+/// Waits on for a late attempt beside which there can be no other.
+///
+/// Failure: a host is cut off and no other serves the call. Symptom: the call
+/// holds its caller, often a call further up with a slot of its own, until its
+/// deadline. One that may run again is given up once the host is silent.
+async fn without_spare<F: Future<Output = Got>>(
+    d: &Arc<Daemon>,
+    work: &Work,
+    target: &Target,
+    mut first: Sending<F>,
+    why: &'static str,
+) -> Got {
+    if !work.repeatable {
+        return first.await;
+    }
+    if why != HOST_SILENT {
+        let silent = liveness::silent(d, target.host);
+        if let Raced::First(got) = race(first.as_mut(), silent).await {
+            return got;
+        }
+    }
+    Got::None(Attempt::Unknown, HOST_SILENT)
+}
+
 /// Returns why a second attempt is due, once it is.
-async fn late(d: &Arc<Daemon>, work: &Work, target: &Target) -> &'static str {
+async fn late(d: &Arc<Daemon>, work: &Work, target: &Target, may_double: bool) -> &'static str {
     let demand = work.demand(d.clock.now());
     let after = d.services.with(&work.service, |service| service.picker.late_after(demand));
     let slow = async {
-        match after.flatten() {
+        match after.flatten().filter(|_| may_double) {
             Some(time) => smol::Timer::after(time).await,
             None => std::future::pending().await,
         };
@@ -234,10 +263,7 @@
     };
     let silent = async {
         liveness::silent(d, target.host).await;
-        d.metrics.incr("host.silent");
-        log::warn!("host of {} gives no sign of life", target.instance);
-        d.services.host_is_silent(target.host, d.clock.now());
-        "host-silent"
+        HOST_SILENT
     };
     smol::future::or(slow, silent).await
 }
@@ -294,6 +320,7 @@
         flight.end(Outcome::Unreached);
         return Got::None(Attempt::unreached(), "unreached");
     };
+    d.liveness.asked(target.host, started);
     let cx = context(d, work, target, left, started);
     let req = request(work, body);
     let sent = match target.host == d.me {
@@ -317,7 +344,7 @@
             return Got::None(Attempt::Unknown, "deadline");
         }
     };
-    d.liveness.heard(target.host, d.clock.now());
+    liveness::heard(d, target.host);
     read_answer(d, work, res, flight, started).await
 }
 
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -144,11 +144,11 @@
         chosen.flatten()
     }
 
-    /// Sets a host's upstreams aside in every service.
-    pub fn host_is_silent(&self, host: HostKey, now: Instant) {
+    /// Takes in that a host gives no sign of life, or does again.
+    pub fn set_silent(&self, host: HostKey, silent: bool) {
         for shard in &self.shards {
             for service in lock(shard).values_mut() {
-                service.picker.host_is_silent(host, now);
+                service.picker.set_silent(host, silent);
             }
         }
     }
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -7,6 +7,7 @@
 //! of a member that runs a higher version, which each datagram tells.
 //! `docs/PLATFORM.md` has what was weighed.
 
+use super::versions::Running;
 use super::{Daemon, mesh};
 use crate::store::{Change, Platform, PlatformError, Watch};
 use bytes::Bytes;
@@ -124,13 +125,13 @@
     if version <= d.versions.running_version() {
         return;
     }
-    let (table, selected) = match compile(d, document) {
+    let running = match compile(d, document) {
         Ok(compiled) => compiled,
         Err(err) => return refuse(d, version, &err, from),
     };
-    let limits = table.limits;
-    let routes = table.len();
-    if !d.versions.install(table, selected, text) {
+    let limits = running.table.limits;
+    let routes = running.table.len();
+    if !d.versions.install(running, text) {
         return;
     }
     if let Some(limits) = limits {
@@ -140,7 +141,7 @@
     log::info!("version {version} is in force: {routes} routes, from {from}");
 }
 
-fn compile(d: &Daemon, document: Document) -> Result<(Table, Vec<String>), SourceError> {
+fn compile(d: &Daemon, document: Document) -> Result<Running, SourceError> {
     let proxy = d.settings.proxy();
     let selected: Vec<_> = document
         .configs
@@ -148,7 +149,12 @@
         .filter(|cfg| document.selectors.iter().any(|s| s.selects(&cfg.labels, &proxy)))
         .collect();
     let table = Table::compile(document.version, &selected).map_err(SourceError::Invalid)?;
-    Ok((table, selected.into_iter().map(|cfg| cfg.id).collect()))
+    Ok(Running {
+        table,
+        selected: selected.into_iter().map(|cfg| cfg.id).collect(),
+        health_paths: document.health_paths,
+        since_ms: d.clock.wall_ms(),
+    })
 }
 
 fn refuse(d: &Daemon, version: Version, err: &SourceError, from: &str) {
--- a/src/daemon/versions.rs
+++ b/src/daemon/versions.rs
@@ -31,6 +31,8 @@
     pub table: Table,
     /// Ids of the configurations in it.
     pub selected: Vec<String>,
+    /// Paths by which upstreams tell how they are, by service.
+    pub health_paths: BTreeMap<String, String>,
     /// When it came into force, in milliseconds since 1970.
     pub since_ms: u64,
 }
@@ -114,19 +116,23 @@
     /// Puts a whole document in force if it is newer; returns whether it was.
     ///
     /// `text` is kept for members that cannot reach the store.
-    pub fn install(&self, table: Table, selected: Vec<String>, text: Bytes) -> bool {
+    pub fn install(&self, running: Running, text: Bytes) -> bool {
         let mut document = lock(&self.document);
-        if table.version <= document.version {
+        if running.table.version <= document.version {
             return false;
         }
-        document.version = table.version;
+        document.version = running.table.version;
         document.text = text;
-        let running = Running { table, selected, since_ms: self.clock.wall_ms() };
         let mut slot = self.running.write().unwrap_or_else(std::sync::PoisonError::into_inner);
         *slot = Arc::new(running);
         true
     }
 
+    /// Returns the path by which a service's upstreams tell how they are.
+    pub fn health_path(&self, service: &str) -> Option<String> {
+        self.running().health_paths.get(service).cloned()
+    }
+
     /// Returns the document in force, with its version.
     pub fn document(&self) -> Option<(Version, Bytes)> {
         let document = lock(&self.document);
@@ -353,7 +359,9 @@
         inner.staged = inner.staged.split_off(&version);
         inner.waiting = inner.waiting.split_off(&(version + 1));
         let since_ms = self.clock.wall_ms();
-        let running = Running { table: staged.table, selected: staged.selected, since_ms };
+        let health_paths = BTreeMap::new();
+        let running =
+            Running { table: staged.table, selected: staged.selected, health_paths, since_ms };
         let mut slot = self.running.write().unwrap_or_else(std::sync::PoisonError::into_inner);
         *slot = Arc::new(running);
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -33,6 +33,9 @@
     pub callers: SocketAddr,
     /// Port for upstreams and operators of this host.
     pub upstreams: SocketAddr,
+    /// Address of the upstream on this host, asked once after a start who it is.
+    #[serde(default)]
+    pub upstream: Option<SocketAddr>,
     /// Port for other daemons, TCP and UDP.
     pub mesh: SocketAddr,
     /// Address under which its own failure domain reaches `mesh`.
