--- a/crates/core/src/request/choose.rs
+++ b/crates/core/src/request/choose.rs
@@ -80,10 +80,14 @@
 /// of a service fail, such as calls whose own calls fail, is no reason to leave
 /// any of them.
 const ERROR_COST: f64 = 8.0;
-/// Deviations above the mean before which no call is late for its kind, and after
-/// which each is: of normal times one in a hundred and one in a thousand.
+/// Deviations above the mean before which no call is late for its kind; one in a
+/// hundred takes longer.
 const EARLY_DEVIATIONS: f64 = 3.0;
-const LATE_DEVIATIONS: f64 = 5.0;
+/// Mean times, and milliseconds beside them, after which each call is late for its
+/// kind. The milliseconds are for kinds that take next to no time, where a busy
+/// moment of a host is many means.
+const LATE_TIMES: f64 = 3.0;
+const LATE_LEAST_MS: f64 = 50.0;
 /// Mean times that a second try needs to be in time.
 const SECOND_TRY_ROOM: f64 = 1.3;
 
@@ -367,14 +371,15 @@
     /// Returns after what time an attempt is so late for its kind that a second
     /// one is worth its cost; `None` before the kind is known.
     ///
-    /// In between, it is the last moment at which another answer can still be in
-    /// time. Not earlier than a few deviations above the mean, since then most
-    /// answers are only slow; not much later, since then they are lost.
+    /// That is the last moment at which another answer can still be in time. Not
+    /// earlier than a few deviations above the mean, since then most answers are
+    /// only slow; not later than a few times the mean, since then they are lost
+    /// however long the objective is.
     pub fn late_after(&self, demand: Demand) -> Option<Duration> {
         let spread = self.kinds.get(&demand.kind)?;
         let objective = demand.objective.as_secs_f64() * 1e3;
         let least = spread.total + EARLY_DEVIATIONS * spread.deviation;
-        let most = spread.total + LATE_DEVIATIONS * spread.deviation;
+        let most = least.max(LATE_TIMES * spread.total + LATE_LEAST_MS);
         let ms = (objective - SECOND_TRY_ROOM * spread.total).clamp(least, most);
         Some(Duration::from_secs_f64(ms / 1e3))
     }
@@ -392,6 +397,20 @@
         }
     }
 
+    /// Takes in that an attempt is late: it has taken this long and goes on.
+    ///
+    /// Failure: an upstream falls silent, and each call to it is answered by a
+    /// second attempt elsewhere, after which the first is cancelled. Symptom:
+    /// nothing bad was ever observed of it, and every call is late. What has
+    /// passed already counts as the least that the attempt takes.
+    pub fn late(&mut self, key: UpstreamKey, demand: Demand, passed: Duration, now: Instant) {
+        let Some(spread) = self.kinds.get(&demand.kind) else { return };
+        let relative = passed.as_secs_f64() * 1e3 / spread.total.max(0.1);
+        let upstream = self.at_mut(key);
+        upstream.observe_speed(relative.max(1.0), now);
+        upstream.erred(now);
+    }
+
     /// Records that an attempt was sent.
     pub fn started(&mut self, key: UpstreamKey) {
         self.at_mut(key).outstanding += 1;
@@ -629,9 +648,7 @@
     }
 
     fn answered(&mut self, relative: f64, load: Option<u16>, now: Instant) {
-        let old = self.speed.map_or(relative, |_| self.speed(now));
-        self.speed = Some(old + SMOOTHING * (relative - old));
-        self.speed_at = now;
+        self.observe_speed(relative, now);
         self.hint = load.map(|load| (load, now));
         self.errors = self.errors(now) * (1.0 - ERROR_SMOOTHING);
         self.errors_at = now;
@@ -641,6 +658,12 @@
         self.answers = self.answers.saturating_add(1);
     }
 
+    fn observe_speed(&mut self, relative: f64, now: Instant) {
+        let old = self.speed.map_or(relative, |_| self.speed(now));
+        self.speed = Some(old + SMOOTHING * (relative - old));
+        self.speed_at = now;
+    }
+
     /// Returns the share of errors, less what is forgiven by now.
     fn errors(&self, now: Instant) -> f64 {
         let idle = now.saturating_duration_since(self.errors_at).as_secs_f64();
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -236,7 +236,10 @@
         for _ in 0..number(case, "times", 1) {
             for name in list(case, "of") {
                 if let Some(key) = self.key(&name) {
-                    self.picker.ended(key, demand(case), outcome, self.now());
+                    match arg(case, "as", "answered") {
+                        "late" => self.picker.late(key, demand(case), time, self.now()),
+                        _ => self.picker.ended(key, demand(case), outcome, self.now()),
+                    }
                 }
             }
         }
--- /dev/null
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -0,0 +1,308 @@
+//! Daemons with the settings that the users' platform would render.
+
+use crate::hosted::instance::Instance;
+use crate::hosted::store::{CONFIG_KEY, Store};
+use crate::link::Link;
+use crate::ports;
+use crate::upstream::Ledger;
+use cicadashift_http::body;
+use cicadashift_http::client::Pool;
+use cicadashift_http::hyper::{Method, Request, Response};
+use serde_json::{Value, json};
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+/// Longest wait for something that is to come true.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(20);
+const ASK_TIME: Duration = Duration::from_secs(4);
+const MOST: usize = 16 << 20;
+/// The one host name that configurations here route.
+const HOST: &str = "notices.example";
+
+/// One daemon with its instance.
+pub struct Node {
+    /// Port for callers.
+    pub callers: SocketAddr,
+    /// Port for the instance and operators of the host.
+    pub control: SocketAddr,
+    /// Port that tells readiness.
+    pub ready: SocketAddr,
+    /// The way from it to the store.
+    pub store_link: Link,
+    /// The instance beside it.
+    pub instance: Arc<Instance>,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// Daemons of one mesh; every process ends with it.
+pub struct HostedFleet {
+    /// Its daemons; the first two in failure domain `a`, the others in `b`.
+    pub nodes: Vec<Node>,
+    /// The store.
+    pub store: Store,
+    /// What the instances ran.
+    pub ledger: Ledger,
+    program: PathBuf,
+    dir: PathBuf,
+    pool: Pool,
+}
+
+impl HostedFleet {
+    /// Starts daemons, each beside an instance of the service `notice`, and a
+    /// first configuration, and waits until all are ready and know all others.
+    ///
+    /// # Panics
+    ///
+    /// Panics where nothing can be started or nobody becomes ready.
+    pub async fn serving(program: &Path, count: usize) -> HostedFleet {
+        let fleet = HostedFleet::start(program, count);
+        fleet.put_config(1, &["/notices/"]);
+        for i in 0..count {
+            let ready = fleet.wait(async |fleet: &HostedFleet| fleet.is_ready(i).await).await;
+            assert!(ready, "daemon {i} becomes ready: {}", fleet.log(i));
+            let known = fleet.wait(async |fleet: &HostedFleet| fleet.knows(i, count).await).await;
+            assert!(known, "daemon {i} knows all instances: {}", fleet.log(i));
+        }
+        fleet
+    }
+
+    /// Starts daemons without a configuration.
+    ///
+    /// # Panics
+    ///
+    /// Panics where nothing can be started.
+    pub fn start(program: &Path, count: usize) -> HostedFleet {
+        let unique = format!("cicadashift-hosted-{}-{:08x}", std::process::id(), fastrand::u32(..));
+        let dir = std::env::temp_dir().join(unique);
+        std::fs::create_dir_all(&dir).expect("the temporary folder can be written");
+        let store = Store::start();
+        let ledger = Ledger::default();
+        let nodes = (0..count).map(|i| Node::plan(i, &dir, &store, &ledger)).collect();
+        let mut fleet = HostedFleet {
+            nodes,
+            store,
+            ledger,
+            program: program.to_path_buf(),
+            dir,
+            pool: Pool::new(8),
+        };
+        for i in 0..count {
+            fleet.restart(i);
+        }
+        fleet
+    }
+
+    /// Writes a configuration with these prefixes as the operator does.
+    pub fn put_config(&self, version: u64, prefixes: &[&str]) {
+        self.store.put(CONFIG_KEY, config(version, prefixes).to_string().as_bytes());
+    }
+
+    /// Starts a daemon that does not run.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program cannot be started.
+    pub fn restart(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        let log = File::options().create(true).append(true).open(&node.log).expect("a log file");
+        let errors = log.try_clone().expect("a second handle");
+        let child = Command::new(&self.program)
+            .args(["daemon", "--settings"])
+            .arg(&node.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn();
+        node.child = Some(child.expect("the program can be started"));
+    }
+
+    /// Ends a daemon without a word.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.nodes[i].child.take() {
+            let _gone = child.kill();
+            let _gone = child.wait();
+        }
+    }
+
+    /// Sends a signal, such as `-TERM`, to a daemon.
+    pub fn signal(&self, i: usize, signal: &str) {
+        if let Some(child) = &self.nodes[i].child {
+            let _sent = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+        }
+    }
+
+    /// Returns the exit code of a daemon that has ended.
+    pub fn exit_code(&mut self, i: usize) -> Option<i32> {
+        self.nodes[i].child.as_mut()?.try_wait().ok()?.and_then(|status| status.code())
+    }
+
+    /// Changes a field of a daemon's settings file.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the file cannot be written.
+    pub fn change_settings(&self, i: usize, field: &str, value: Value) {
+        let file = &self.nodes[i].settings;
+        let buf = std::fs::read(file).expect("the settings are there");
+        let mut settings: Value = serde_json::from_slice(&buf).expect("they are JSON");
+        settings[field] = value;
+        std::fs::write(file, settings.to_string()).expect("the settings can be written");
+    }
+
+    /// Returns what a daemon has logged.
+    pub fn log(&self, i: usize) -> String {
+        std::fs::read_to_string(&self.nodes[i].log).unwrap_or_default()
+    }
+
+    /// Returns whether a daemon says that it takes work.
+    pub async fn is_ready(&self, i: usize) -> bool {
+        let req = Request::get("/cicadashift/ready").header("host", "ready").body(body::empty());
+        let Ok(req) = req else { return false };
+        let answer = self.pool.exchange(self.nodes[i].ready, req, MOST, ASK_TIME).await;
+        answer.is_ok_and(|res| res.status().is_success())
+    }
+
+    /// Sends a request to a daemon; `None` where the connection broke.
+    pub async fn call(
+        &self,
+        i: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+    ) -> Option<Response<String>> {
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", HOST)
+            .header("x-request-id", id)
+            .header("x-deadline-ms", "3000")
+            .header("x-caller-service", "forged")
+            .body(body::full("body"))
+            .ok()?;
+        let res = self.pool.exchange(self.nodes[i].callers, req, MOST, ASK_TIME).await.ok()?;
+        Some(res.map(|buf| String::from_utf8_lossy(&buf).into_owned()))
+    }
+
+    /// Returns the status of a GET.
+    pub async fn status(&self, i: usize, path: &str, id: &str) -> Option<u16> {
+        self.call(i, Method::GET, path, id).await.map(|res| res.status().as_u16())
+    }
+
+    /// Sends several GETs to a daemon at once; returns their statuses.
+    pub async fn statuses(&self, i: usize, path: &str, ids: &[String]) -> Vec<Option<u16>> {
+        let mut calls: Vec<_> =
+            ids.iter().map(|id| Box::pin(self.status(i, path, id))).map(Some).collect();
+        let mut statuses = vec![None; ids.len()];
+        std::future::poll_fn(|cx| {
+            for (call, status) in calls.iter_mut().zip(&mut statuses) {
+                if let Some(pending) = call
+                    && let Poll::Ready(got) = pending.as_mut().poll(cx)
+                {
+                    *status = got;
+                    *call = None;
+                }
+            }
+            if calls.iter().all(Option::is_none) { Poll::Ready(()) } else { Poll::Pending }
+        })
+        .await;
+        statuses
+    }
+
+    /// Waits until something is true.
+    pub async fn wait(&self, holds: impl AsyncFn(&HostedFleet) -> bool) -> bool {
+        let until = Instant::now() + PATIENCE;
+        while !holds(self).await {
+            if Instant::now() >= until {
+                return false;
+            }
+            smol::Timer::after(POLL).await;
+        }
+        true
+    }
+
+    /// Returns whether a daemon knows this many instances.
+    async fn knows(&self, i: usize, count: usize) -> bool {
+        let req = Request::get("/v1/status/self").header("host", "daemon").body(body::empty());
+        let Ok(req) = req else { return false };
+        let answer = self.pool.exchange(self.nodes[i].control, req, MOST, ASK_TIME).await;
+        let Ok(res) = answer else { return false };
+        let status: Value = serde_json::from_slice(res.body()).unwrap_or(Value::Null);
+        status["services"]["notice"] == json!(count)
+    }
+}
+
+impl Drop for HostedFleet {
+    fn drop(&mut self) {
+        for i in 0..self.nodes.len() {
+            self.signal(i, "-CONT");
+            self.kill(i);
+        }
+        let _best_effort = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Node {
+    fn plan(i: usize, dir: &Path, store: &Store, ledger: &Ledger) -> Node {
+        let ip = ports::own_ip();
+        let [callers, control, ready, mesh] = ports::free(ip);
+        let store_link = Link::start(store.addr, Duration::ZERO);
+        let instance = Instance::start(&format!("i-{i}"), "notice", control, ledger.clone());
+        let settings = json!({
+            "interface": "platform",
+            "host": format!("host-{i}"),
+            "failure_domain": if i < 2 { "a" } else { "b" },
+            "services": ["notice"],
+            "callers": callers,
+            "upstreams": control,
+            "upstream": instance.addr,
+            "ready": ready,
+            "mesh": mesh,
+            "platform": [store_link.addr],
+            "mesh_key": crate::fleet::MESH_KEY,
+            "threads": 1,
+            "limits": {"leave_ms": 800, "finish_ms": 3000},
+        });
+        let file = dir.join(format!("host-{i}.json"));
+        std::fs::write(&file, settings.to_string()).expect("settings can be written");
+        Node {
+            callers,
+            control,
+            ready,
+            store_link,
+            instance,
+            settings: file,
+            log: dir.join(format!("host-{i}.log")),
+            child: None,
+        }
+    }
+}
+
+/// Returns a configuration as the operator writes it.
+pub fn config(version: u64, prefixes: &[&str]) -> Value {
+    let paths: Vec<Value> = prefixes
+        .iter()
+        .map(|prefix| {
+            let kind = if *prefix == "/lift/" { "non_idempotent" } else { "idempotent" };
+            json!({
+                "Name": "r", "Prefix": prefix, "Kind": kind, "TimeoutMs": 1500,
+                "TargetLatencyMs": 400, "Priority": 1, "Service": "notice", "MaxAttempts": 2,
+            })
+        })
+        .collect();
+    json!({
+        "Version": format!("r{version}"),
+        "Services": [{"Name": "notice", "HealthPath": "/health", "MaxConnections": 110,
+                      "Protocol": "h1", "Tls": false}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutMs": 3000,
+                   "IdleTimeoutMs": 15000},
+        "VirtualHosts": [{"Host": HOST, "Paths": paths}],
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/hosted/instance.rs
@@ -0,0 +1,239 @@
+//! An instance on the users' platform: heartbeats, identity, and ways to fail.
+
+use crate::upstream::Ledger;
+use cicadashift_http::body::{self, Body};
+use cicadashift_http::client::Pool;
+use cicadashift_http::exec;
+use cicadashift_http::hyper::body::Incoming;
+use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
+use cicadashift_http::server::{self, Limits, Stop};
+use serde_json::json;
+use smol::Async;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Time between two heartbeats.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(200);
+const CONTROL_TIME: Duration = Duration::from_secs(2);
+const MOST: usize = 64 << 20;
+
+/// How an instance answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manner {
+    /// Whole and in order.
+    #[default]
+    Good,
+    /// Runs the request and never answers.
+    Silent,
+    /// With another request's id.
+    WrongId,
+    /// That it failed.
+    Failing,
+    /// That it did not run the request.
+    Shedding,
+}
+
+struct Shared {
+    id: Mutex<String>,
+    manner: Mutex<Manner>,
+    work: Mutex<Duration>,
+    draining: Mutex<bool>,
+    beats: Mutex<bool>,
+    sequence: AtomicU64,
+    ledger: Ledger,
+    seen: Mutex<Vec<(String, String)>>,
+}
+
+/// A running instance.
+pub struct Instance {
+    /// Where it serves.
+    pub addr: SocketAddr,
+    service: String,
+    control: SocketAddr,
+    shared: Arc<Shared>,
+    pool: Pool,
+    _stop: Stop,
+}
+
+impl Instance {
+    /// Starts an instance that sends heartbeats to a daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system refuses a port.
+    pub fn start(id: &str, service: &str, control: SocketAddr, ledger: Ledger) -> Arc<Instance> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
+        let addr = listener.get_ref().local_addr().expect("a bound socket has an address");
+        let shared = Arc::new(Shared {
+            id: Mutex::new(id.to_string()),
+            manner: Mutex::default(),
+            work: Mutex::new(Duration::from_millis(2)),
+            draining: Mutex::new(false),
+            beats: Mutex::new(true),
+            sequence: AtomicU64::new(0),
+            ledger,
+            seen: Mutex::default(),
+        });
+        let (stop, stopped) = server::stop_pair();
+        let serving = shared.clone();
+        exec::spawn(server::serve(listener, Limits::default(), stopped, move |_, req| {
+            handle(serving.clone(), req)
+        }))
+        .detach();
+        let instance = Arc::new(Instance {
+            addr,
+            service: service.to_string(),
+            control,
+            shared,
+            pool: Pool::new(1),
+            _stop: stop,
+        });
+        let beating = Arc::downgrade(&instance);
+        exec::spawn(async move {
+            while let Some(instance) = beating.upgrade() {
+                let beats = *lock(&instance.shared.beats);
+                if beats {
+                    let _daemon_may_be_down = instance.beat().await;
+                }
+                drop(instance);
+                smol::Timer::after(HEARTBEAT_EVERY).await;
+            }
+        })
+        .detach();
+        instance
+    }
+
+    /// Changes how it answers.
+    pub fn set_manner(&self, manner: Manner) {
+        *lock(&self.shared.manner) = manner;
+    }
+
+    /// Changes how long a request takes.
+    pub fn set_work(&self, work: Duration) {
+        *lock(&self.shared.work) = work;
+    }
+
+    /// Stops or resumes heartbeats.
+    pub fn set_beats(&self, beats: bool) {
+        *lock(&self.shared.beats) = beats;
+    }
+
+    /// Becomes another instance at the same address, without a word.
+    pub fn become_another(&self, id: &str) {
+        *lock(&self.shared.id) = id.to_string();
+    }
+
+    /// Reports that it is leaving; returns whether that was acknowledged.
+    pub async fn drain(&self) -> bool {
+        *lock(&self.shared.draining) = true;
+        self.beat().await
+    }
+
+    /// Says that it is gone, and goes on serving.
+    pub async fn leave(&self) -> bool {
+        *lock(&self.shared.beats) = false;
+        let id = lock(&self.shared.id).clone();
+        self.tell(Method::DELETE, &id, String::new()).await
+    }
+
+    /// Sends one heartbeat; returns whether it was acknowledged.
+    pub async fn beat(&self) -> bool {
+        let id = lock(&self.shared.id).clone();
+        let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
+        let draining = *lock(&self.shared.draining);
+        self.beat_as(&id, sequence, draining).await
+    }
+
+    /// Sends a heartbeat with any content, such as one that was held up.
+    pub async fn beat_as(&self, id: &str, sequence: u64, draining: bool) -> bool {
+        let state = if draining { "draining" } else { "ready" };
+        let beat = json!({
+            "Address": self.addr,
+            "Info": {"Service": self.service, "Version": "v1", "Zone": "a", "Slots": 9},
+            "Status": {"State": state, "Seq": sequence, "ColdMs": 0},
+        });
+        self.tell(Method::PUT, id, beat.to_string()).await
+    }
+
+    /// Returns the callers' services and deadlines that it saw.
+    pub fn seen(&self) -> Vec<(String, String)> {
+        lock(&self.shared.seen).clone()
+    }
+
+    async fn tell(&self, method: Method, id: &str, body: String) -> bool {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("/cicadashift/instances/{id}"))
+            .header("host", "control")
+            .body(body::full(body));
+        let Ok(req) = req else { return false };
+        let result = self.pool.exchange(self.control, req, 4096, CONTROL_TIME).await;
+        result.is_ok_and(|res| res.status() == StatusCode::OK)
+    }
+}
+
+async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let own = lock(&shared.id).clone();
+    if req.uri().path() == "/health" {
+        return health(&shared, &own);
+    }
+    let (head, incoming) = req.into_parts();
+    let text = |name: &str| {
+        head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_string()
+    };
+    let id = text("x-request-id");
+    if text("x-expect-instance") != own {
+        return not_run(StatusCode::MISDIRECTED_REQUEST, &id, &own);
+    }
+    let manner = *lock(&shared.manner);
+    if manner == Manner::Shedding {
+        return not_run(StatusCode::SERVICE_UNAVAILABLE, &id, &own);
+    }
+    lock(&shared.seen).push((text("x-caller-service"), text("x-deadline-ms")));
+    let body = body::read(incoming, MOST).await.unwrap_or_default();
+    shared.ledger.ran(&id);
+    let work = *lock(&shared.work);
+    smol::Timer::after(work).await;
+    if manner == Manner::Silent {
+        return std::future::pending().await;
+    }
+    let echoed = if manner == Manner::WrongId { "of-another" } else { id.as_str() };
+    let mut res = Response::new(body::full(format!("{own} {id} {}", body.len())));
+    if manner == Manner::Failing {
+        *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    }
+    set(&mut res, "x-request-id", echoed);
+    set(&mut res, "x-server-stamp", &own);
+    res
+}
+
+fn health(shared: &Shared, own: &str) -> Response<Body> {
+    let mut res = Response::new(body::empty());
+    if *lock(&shared.draining) {
+        *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    set(&mut res, "x-instance-id", own);
+    set(&mut res, "x-server-load", "0,0,9");
+    res
+}
+
+fn not_run(status: StatusCode, id: &str, own: &str) -> Response<Body> {
+    let mut res = Response::new(body::empty());
+    *res.status_mut() = status;
+    set(&mut res, "x-not-executed", "1");
+    set(&mut res, "x-request-id", id);
+    set(&mut res, "x-instance-id", own);
+    res
+}
+
+fn set(res: &mut Response<Body>, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        res.headers_mut().insert(name, value);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/testkit/src/hosted/mod.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for the users' platform: its store, its instances, and daemons with
+//! the settings that it would render.
+
+pub mod fleet;
+pub mod instance;
+pub mod store;
--- /dev/null
+++ b/crates/testkit/src/hosted/store.rs
@@ -0,0 +1,341 @@
+//! The platform's metadata store, as its published protocol says.
+//!
+//! Only the fields that the product uses are there. What can go wrong is in
+//! [`Faults`]; a machine that is turned away alone is a cut [`crate::link::Link`].
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use cicadashift_http::body::{self, Body};
+use cicadashift_http::exec;
+use cicadashift_http::hyper::body::Incoming;
+use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
+use cicadashift_http::server::{self, Limits, Stop};
+use serde_json::{Value, json};
+use smol::Async;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Key of the operators' configuration.
+pub const CONFIG_KEY: &str = "op/config";
+/// Step in which a waiting watch looks for changes.
+const STEP: Duration = Duration::from_millis(5);
+const MOST: usize = 4 << 20;
+
+/// How the store is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Down {
+    /// It takes calls and never answers.
+    Silent,
+    /// It answers that it is busy, and does nothing.
+    Busy,
+    /// It answers that calls are over their rate, and does nothing.
+    TooMany,
+}
+
+/// What is made to go wrong.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Every call fails in this way, and watches end.
+    pub down: Option<Down>,
+    /// Added to each call.
+    pub delay: Duration,
+    /// This many writes take effect and their answers are lost.
+    pub lose_answers: u32,
+}
+
+#[derive(Clone)]
+struct Item {
+    value: String,
+    revision: i64,
+    created: i64,
+    lease: i64,
+}
+
+#[derive(Default)]
+struct State {
+    revision: i64,
+    items: BTreeMap<String, Item>,
+    /// Changes by revision; a deleted item has no value.
+    history: BTreeMap<i64, (String, Option<Item>)>,
+    /// The newest revision whose history is gone.
+    dropped: i64,
+    leases: HashMap<i64, (Duration, Instant)>,
+    next_lease: i64,
+    faults: Faults,
+    calls: u64,
+}
+
+/// A running stand-in.
+pub struct Store {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _stop: Stop,
+}
+
+impl Store {
+    /// Starts on a port of the system's choice.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system refuses a port.
+    pub fn start() -> Store {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
+        let addr = listener.get_ref().local_addr().expect("a bound socket has an address");
+        let state = Arc::new(Mutex::new(State::default()));
+        let (stop, stopped) = server::stop_pair();
+        let serving = state.clone();
+        exec::spawn(server::serve(listener, Limits::default(), stopped, move |_, req| {
+            handle(serving.clone(), req)
+        }))
+        .detach();
+        Store { addr, state, _stop: stop }
+    }
+
+    /// Changes what goes wrong.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut lock(&self.state).faults);
+    }
+
+    /// Writes a key as the operator does.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        lock(&self.state).put(key, STANDARD.encode(value), 0);
+    }
+
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = lock(&self.state);
+        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Ends every lease at once.
+    pub fn lapse_leases(&self) {
+        let mut state = lock(&self.state);
+        state.leases.clear();
+        state.expire(Instant::now());
+    }
+
+    /// Takes keys away although their leases run on.
+    pub fn revoke(&self, prefix: &str) {
+        for key in self.keys(prefix) {
+            lock(&self.state).delete(&key);
+        }
+    }
+
+    /// Forgets all changes so far.
+    pub fn drop_history(&self) {
+        let mut state = lock(&self.state);
+        state.dropped = state.revision;
+        state.history.clear();
+    }
+
+    /// Returns how many calls came.
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: String, lease: i64) {
+        self.revision += 1;
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item { value, revision, created, lease };
+        self.items.insert(key.to_string(), item.clone());
+        self.history.insert(revision, (key.to_string(), Some(item)));
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.history.insert(self.revision, (key.to_string(), None));
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.leases.retain(|_, (ttl, renewed)| now < *renewed + *ttl);
+        let ended: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease != 0 && !self.leases.contains_key(&item.lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        ended.iter().for_each(|key| self.delete(key));
+    }
+
+    fn events_after(&self, prefix: &str, after: i64) -> Vec<Value> {
+        let changes = self.history.range(after + 1..);
+        changes
+            .filter(|(_, (key, _))| key.starts_with(prefix))
+            .map(|(revision, (key, item))| match item {
+                Some(item) => json_of(key, item),
+                None => json!({"Key": key, "Revision": revision, "Deleted": true}),
+            })
+            .collect()
+    }
+}
+
+async fn handle(state: Arc<Mutex<State>>, req: Request<Incoming>) -> Response<Body> {
+    let faults = {
+        let mut state = lock(&state);
+        state.calls += 1;
+        state.expire(Instant::now());
+        state.faults.clone()
+    };
+    match faults.down {
+        Some(Down::Silent) => return std::future::pending().await,
+        Some(Down::Busy) => return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+        Some(Down::TooMany) => return answer(StatusCode::TOO_MANY_REQUESTS, &json!({})),
+        None => {}
+    }
+    smol::Timer::after(faults.delay).await;
+    let (head, incoming) = req.into_parts();
+    let body = body::read(incoming, MOST).await.unwrap_or_default();
+    let asked: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let query = query(head.uri.query().unwrap_or_default());
+    let path = head.uri.path().trim_start_matches("/cicadashift/");
+    let (name, id) = path.split_once('/').unwrap_or((path, ""));
+    let id: i64 = id.parse().unwrap_or(0);
+    match (&head.method, name) {
+        (&Method::GET, "kv-key") => key(&lock(&state), &query),
+        (&Method::GET, "kv-range") => range(&lock(&state), &query),
+        (&Method::GET, "kv-watch") => watch(&state, &query).await,
+        (&Method::POST, "kv-txn") => {
+            let response = transact(&mut lock(&state), &asked);
+            lose(&state, response).await
+        }
+        (&Method::POST, "kv-lease") => grant(&mut lock(&state), &asked),
+        (&Method::POST, "kv-keep") => keep(&mut lock(&state), id),
+        (&Method::DELETE, "kv-lease-end") => {
+            lock(&state).leases.remove(&id);
+            answer(StatusCode::OK, &json!({}))
+        }
+        _ => answer(StatusCode::NOT_FOUND, &json!({"Error": "no such call"})),
+    }
+}
+
+fn key(state: &State, query: &HashMap<String, String>) -> Response<Body> {
+    let key = &query["Key"];
+    let Some(item) = state.items.get(key) else {
+        return answer(StatusCode::NOT_FOUND, &json!({"AsOf": state.revision}));
+    };
+    let mut found = json_of(key, item);
+    found["AsOf"] = json!(state.revision);
+    answer(StatusCode::OK, &found)
+}
+
+/// Answers with pages of two items, so that every reader meets a second page.
+fn range(state: &State, query: &HashMap<String, String>) -> Response<Body> {
+    let after = query.get("after").cloned().unwrap_or_default();
+    let all: Vec<_> = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(&query["Prefix"]) && **key > after)
+        .collect();
+    let items: Vec<Value> = all.iter().take(2).map(|(key, item)| json_of(key, item)).collect();
+    let more = all.len() > items.len();
+    let page = json!({"items": items, "HasMore": more, "AsOf": state.revision});
+    answer(StatusCode::OK, &page)
+}
+
+async fn watch(state: &Mutex<State>, query: &HashMap<String, String>) -> Response<Body> {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<i64>().ok());
+    let after = number("after").unwrap_or(0);
+    let until = Instant::now() + Duration::from_millis(number("WaitMs").unwrap_or(0) as u64);
+    loop {
+        {
+            let state = lock(state);
+            if state.faults.down.is_some() {
+                return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            }
+            if after < state.dropped {
+                return answer(StatusCode::GONE, &json!({}));
+            }
+            let events = state.events_after(&query["Prefix"], after);
+            if !events.is_empty() || Instant::now() >= until {
+                let body = json!({"events": events, "AsOf": state.revision});
+                return answer(StatusCode::OK, &body);
+            }
+        }
+        smol::Timer::after(STEP).await;
+    }
+}
+
+fn transact(state: &mut State, asked: &Value) -> Response<Body> {
+    let rows = |name: &str| asked[name].as_array().cloned().unwrap_or_default();
+    let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_string();
+    for row in rows("Expected") {
+        let now = state.items.get(&text(&row, "Key")).map_or(0, |item| item.revision);
+        if now != row["Revision"].as_i64().unwrap_or(-1) {
+            return answer(StatusCode::PRECONDITION_FAILED, &json!({"items": []}));
+        }
+    }
+    for row in rows("Puts") {
+        let lease = row["Lease"].as_i64().unwrap_or(0);
+        if lease != 0 && !state.leases.contains_key(&lease) {
+            return answer(StatusCode::NOT_FOUND, &json!({"Error": "no such lease"}));
+        }
+        state.put(&text(&row, "Key"), text(&row, "Value"), lease);
+    }
+    for row in rows("Deletes") {
+        state.delete(row.as_str().unwrap_or_default());
+    }
+    answer(StatusCode::OK, &json!({"Revision": state.revision}))
+}
+
+/// Holds an answer back for good if answers are to be lost.
+async fn lose(state: &Mutex<State>, response: Response<Body>) -> Response<Body> {
+    let lost = {
+        let faults = &mut lock(state).faults;
+        let lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        lost
+    };
+    match lost {
+        true => std::future::pending().await,
+        false => response,
+    }
+}
+
+fn grant(state: &mut State, asked: &Value) -> Response<Body> {
+    state.next_lease += 1;
+    let ttl = asked["TtlMs"].as_u64().unwrap_or(1000);
+    let lease = state.next_lease;
+    state.leases.insert(lease, (Duration::from_millis(ttl), Instant::now()));
+    answer(StatusCode::OK, &json!({"Lease": lease, "TtlMs": ttl}))
+}
+
+fn keep(state: &mut State, id: i64) -> Response<Body> {
+    let Some((ttl, renewed)) = state.leases.get_mut(&id) else {
+        return answer(StatusCode::NOT_FOUND, &json!({}));
+    };
+    *renewed = Instant::now();
+    answer(StatusCode::OK, &json!({"TtlMs": ttl.as_millis() as u64}))
+}
+
+fn json_of(key: &str, item: &Item) -> Value {
+    json!({
+        "Key": key,
+        "Value": item.value,
+        "Revision": item.revision,
+        "Created": item.created,
+        "Lease": item.lease,
+    })
+}
+
+fn query(text: &str) -> HashMap<String, String> {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect()
+}
+
+fn answer(status: StatusCode, value: &Value) -> Response<Body> {
+    let mut res = Response::new(body::full(value.to_string()));
+    *res.status_mut() = status;
+    res
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod hosted;
 pub mod link;
 pub mod mesh;
 pub mod platform;
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -202,6 +202,7 @@
     let Some(body) = payload.take() else {
         return Got::None(Attempt::Unknown, "body-spent");
     };
+    let began = d.clock.now();
     let mut first = Box::pin(send(d, work, target, body));
     let may_double = work.repeatable && payload.is_left() && so_far.arrivals + 1 < work.allowed;
     let why = match race(first.as_mut(), late(d, work, target, may_double)).await {
@@ -209,6 +210,10 @@
         Raced::Second(why) => why,
     };
     let now = d.clock.now();
+    let (key, passed) = (target.choice.key, now.saturating_duration_since(began));
+    d.services.with(&work.service, |service| {
+        service.picker.late(key, work.demand(began), passed, now);
+    });
     let spare = match may_double {
         true => d.services.choose_spare(&work.service, work.demand(now), now, &so_far.tried),
         false => None,
--- /dev/null
+++ b/tests/hosted.rs
@@ -0,0 +1,419 @@
+//! The users' platform, with real processes: the whole path, changes, drains,
+//! stops, and what fails. The store and the instances are stand-ins that speak
+//! the published protocol.
+
+mod common;
+
+use cicadashift_http::hyper::Method;
+use cicadashift_testkit::hosted::fleet::{HostedFleet, config};
+use cicadashift_testkit::hosted::instance::Manner;
+use cicadashift_testkit::hosted::store::{CONFIG_KEY, Down};
+use common::run;
+use serde_json::json;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Time in which an accepted change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_cicadashift"))
+}
+
+async fn serving(count: usize) -> HostedFleet {
+    HostedFleet::serving(program(), count).await
+}
+
+#[test]
+fn a_request_gets_its_own_whole_answer_from_any_host() {
+    // Callers at three daemons each get the answer to their own request, from
+    // instances on all hosts. The instance sees the caller's service as the
+    // daemon set it, not as the caller claimed, and less time than the caller has.
+    run(async {
+        let fleet = serving(3).await;
+        fleet.put_config(2, &["/lift/"]);
+        for i in 0..3 {
+            let known = async |fleet: &HostedFleet| fleet.status(i, "/lift/0", "k").await;
+            assert!(fleet.wait(async |fleet| known(fleet).await == Some(200)).await);
+        }
+        for n in 0..30 {
+            let id = format!("own-{n}");
+            let res = fleet.call(n % 3, Method::POST, "/lift/5", &id).await.expect("an answer");
+            assert_eq!(res.status().as_u16(), 200);
+            assert!(res.body().ends_with(&format!("{id} 4")), "{}", res.body());
+            assert_eq!(res.headers()["x-request-id"], id.as_str());
+            assert!(res.headers().contains_key("x-server-stamp"));
+            assert_eq!(fleet.ledger.count(&id), 1);
+        }
+        for node in &fleet.nodes {
+            for (service, deadline) in node.instance.seen() {
+                assert_eq!(service, "notice");
+                assert!(deadline.parse::<u64>().expect("a number") <= 1500, "{deadline}");
+            }
+        }
+    });
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_in_time_and_never_goes_back() {
+    // A route is dropped and another added. Within two seconds each daemon
+    // serves the new one and says 404 for the old. An older version that is
+    // written afterwards changes nothing.
+    run(async {
+        let fleet = serving(3).await;
+        assert_eq!(fleet.status(0, "/new/1", "early").await, Some(404));
+        fleet.put_config(7, &["/new/"]);
+        let accepted = Instant::now();
+        for i in 0..3 {
+            let served = async |fleet: &HostedFleet| fleet.status(i, "/new/1", "n").await;
+            assert!(fleet.wait(async |fleet| served(fleet).await == Some(200)).await);
+            assert!(accepted.elapsed() < IN_FORCE, "{:?}", accepted.elapsed());
+            assert_eq!(fleet.status(i, "/notices/1", "old").await, Some(404));
+        }
+        fleet.put_config(6, &["/notices/"]);
+        smol::Timer::after(Duration::from_millis(400)).await;
+        assert_eq!(fleet.status(1, "/new/1", "still").await, Some(200));
+    });
+}
+
+#[test]
+fn a_bad_configuration_changes_nothing_and_the_log_says_why() {
+    // The store hands out configurations that are cut short, route to a service
+    // that is not listed, have a prefix without its slash, or no timeout. The
+    // last good one stays in force whole, and the next good one is taken.
+    run(async {
+        let fleet = serving(2).await;
+        let mut unknown = config(9, &["/notices/"]);
+        unknown["VirtualHosts"][0]["Paths"][0]["Service"] = json!("nobody");
+        let mut untimed = config(9, &["/notices/"]);
+        untimed["VirtualHosts"][0]["Paths"][0]["TimeoutMs"] = json!(0);
+        let mut cut = config(9, &["/notices/"]).to_string();
+        cut.truncate(cut.len() - 40);
+        let bare = config(9, &["notices"]).to_string();
+        for text in [cut, unknown.to_string(), untimed.to_string(), bare] {
+            let before = fleet.log(0).matches("does not come into force").count();
+            fleet.store.put(CONFIG_KEY, text.as_bytes());
+            let told = async |fleet: &HostedFleet| {
+                fleet.log(0).matches("does not come into force").count() > before
+            };
+            assert!(fleet.wait(told).await, "{text}: {}", fleet.log(0));
+            assert_eq!(fleet.status(0, "/notices/1", "kept").await, Some(200));
+        }
+        fleet.put_config(10, &["/good/"]);
+        let good = async |fleet: &HostedFleet| fleet.status(0, "/good/1", "g").await == Some(200);
+        assert!(fleet.wait(good).await);
+    });
+}
+
+#[test]
+fn an_instance_that_leaves_gets_nothing_after_its_acknowledgement() {
+    // One instance reports that it drains, another says that it is gone and goes
+    // on serving. Callers at all daemons are served by the third, and nothing
+    // that is sent after an acknowledgement reaches the two.
+    run(async {
+        let fleet = serving(3).await;
+        assert!(fleet.nodes[0].instance.drain().await);
+        assert!(fleet.nodes[1].instance.leave().await);
+        let seen = [0, 1].map(|i| fleet.nodes[i].instance.seen().len());
+        for n in 0..60 {
+            let status = fleet.status(n % 3, "/notices/1", &format!("after-{n}")).await;
+            assert_eq!(status, Some(200));
+        }
+        assert_eq!([0, 1].map(|i| fleet.nodes[i].instance.seen().len()), seen);
+        // A report from before the drain that arrives late brings nothing back.
+        assert!(fleet.nodes[0].instance.beat_as("i-0", 0, false).await);
+        assert!(fleet.nodes[1].instance.beat_as("i-1", 99, false).await);
+        for n in 0..20 {
+            fleet.status(n % 3, "/notices/1", &format!("late-{n}")).await;
+        }
+        assert_eq!([0, 1].map(|i| fleet.nodes[i].instance.seen().len()), seen);
+    });
+}
+
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    // Requests of 300 ms run at all daemons when one is told to stop. It says at
+    // once that it takes no work, ends with code 0, and every request that it had
+    // read is answered whole.
+    run(async {
+        let mut fleet = serving(3).await;
+        for node in &fleet.nodes {
+            node.instance.set_work(Duration::from_millis(300));
+        }
+        fleet.signal(0, "-TERM");
+        let ids: Vec<String> = (0..12).map(|n| format!("stop-{n}")).collect();
+        let mut statuses = Vec::new();
+        for (n, id) in ids.iter().enumerate() {
+            statuses.push(fleet.status(n % 2, "/notices/1", id).await);
+            if n == 1 {
+                assert!(!fleet.is_ready(0).await);
+            }
+        }
+        // The stopping one serves until its peers and callers have moved.
+        let cut = statuses.iter().step_by(2).filter(|status| status.is_none()).count();
+        let first_refused = statuses.iter().step_by(2).position(|status| status.is_none());
+        assert!(statuses.iter().skip(1).step_by(2).all(|status| *status == Some(200)));
+        assert!(cut == 0 || first_refused >= Some(2), "{statuses:?}");
+        let ended = Instant::now();
+        while fleet.exit_code(0).is_none() && ended.elapsed() < Duration::from_secs(8) {
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+        assert_eq!(fleet.exit_code(0), Some(0), "{}", fleet.log(0));
+    });
+}
+
+#[test]
+fn settings_are_read_again_and_bad_ones_are_not_taken() {
+    // SIGHUP after a change takes it in; a file that is not good leaves the old
+    // settings in force and the log says why; a change without a signal is
+    // noticed. Requests go on meanwhile.
+    run(async {
+        let fleet = serving(2).await;
+        let logged = async |text: &str| {
+            let found = async |fleet: &HostedFleet| fleet.log(0).contains(text);
+            assert!(fleet.wait(found).await, "{text}: {}", fleet.log(0));
+        };
+        fleet.signal(0, "-HUP");
+        logged("reload (signal): nothing changed").await;
+        fleet.change_settings(0, "threads", json!(0));
+        fleet.signal(0, "-HUP");
+        logged("the old settings stay").await;
+        fleet.change_settings(0, "threads", json!(1));
+        fleet.change_settings(0, "retries", json!({"ratio": 0.1}));
+        logged("reload (file): done").await;
+        assert_eq!(fleet.status(0, "/notices/1", "after").await, Some(200));
+    });
+}
+
+#[test]
+fn a_restart_without_the_store_takes_the_configuration_of_a_member() {
+    // The store falls silent and a daemon is killed and restarted. It answers 503
+    // with a time to come back, never 404, until a member finds it; then it
+    // serves what that member runs.
+    run(async {
+        let mut fleet = serving(3).await;
+        fleet.put_config(5, &["/newer/"]);
+        for i in 0..3 {
+            let newer = async |fleet: &HostedFleet| fleet.status(i, "/newer/1", "n").await;
+            assert!(fleet.wait(async |fleet| newer(fleet).await == Some(200)).await);
+        }
+        fleet.store.fault(|faults| faults.down = Some(Down::Silent));
+        fleet.kill(2);
+        fleet.restart(2);
+        let mut statuses = Vec::new();
+        let served = async |fleet: &HostedFleet| fleet.status(2, "/newer/1", "back").await;
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until && statuses.last() != Some(&200) {
+            statuses.extend(served(&fleet).await);
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        assert_eq!(statuses.last(), Some(&200), "{}", fleet.log(2));
+        assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+        assert!(fleet.is_ready(2).await);
+    });
+}
+
+#[test]
+fn a_daemon_that_knows_nothing_refuses_as_not_run() {
+    // All daemons start while the store is silent. Callers get 503 with a short
+    // time to come back, never 404, and the daemons are not ready. When the store
+    // is back they serve within two seconds.
+    run(async {
+        let fleet = HostedFleet::start(program(), 2);
+        fleet.store.fault(|faults| faults.down = Some(Down::Silent));
+        fleet.put_config(1, &["/notices/"]);
+        let up = async |fleet: &HostedFleet| fleet.status(0, "/notices/1", "early").await.is_some();
+        assert!(fleet.wait(up).await);
+        let res = fleet.call(0, Method::GET, "/notices/1", "early-2").await.expect("an answer");
+        assert_eq!(res.status().as_u16(), 503);
+        let wait: f64 = res.headers()["retry-after"].to_str().expect("text").parse().expect("s");
+        assert!((0.1..=1.0).contains(&wait), "{wait}");
+        assert!(!fleet.is_ready(0).await);
+        fleet.store.fault(|faults| faults.down = None);
+        let back = Instant::now();
+        let served = async |fleet: &HostedFleet| fleet.status(0, "/notices/1", "s").await;
+        assert!(fleet.wait(async |fleet| served(fleet).await == Some(200)).await);
+        assert!(back.elapsed() < Duration::from_secs(4), "{:?}", back.elapsed());
+    });
+}
+
+#[test]
+fn an_outage_of_any_kind_changes_nothing_for_callers() {
+    // The store is busy, over its rate, then loses answers; leases lapse, keys are
+    // taken away and history is dropped. Requests are served throughout, a change
+    // made right after is in force in time, and entries come back.
+    run(async {
+        let fleet = serving(2).await;
+        for (version, down) in [(20, Down::Busy), (21, Down::TooMany), (22, Down::Silent)] {
+            fleet.store.fault(|faults| faults.down = Some(down));
+            for n in 0..20 {
+                let id = format!("out-{version}-{n}");
+                assert_eq!(fleet.status(n % 2, "/notices/1", &id).await, Some(200));
+            }
+            fleet.store.drop_history();
+            fleet.store.lapse_leases();
+            fleet.store.fault(|faults| {
+                faults.down = None;
+                faults.lose_answers = 1;
+            });
+            let prefix = format!("/v{version}/");
+            fleet.put_config(version, &["/notices/", &prefix]);
+            let back = Instant::now();
+            let path = format!("{prefix}1");
+            let served = async |fleet: &HostedFleet| fleet.status(0, &path, "v").await;
+            assert!(fleet.wait(async |fleet| served(fleet).await == Some(200)).await);
+            assert!(back.elapsed() < IN_FORCE + IN_FORCE, "{down:?} {:?}", back.elapsed());
+        }
+        fleet.store.revoke("cicadashift/daemon/");
+        let entries =
+            async |fleet: &HostedFleet| fleet.store.keys("cicadashift/daemon/").len() == 2;
+        let until = Instant::now() + Duration::from_secs(20);
+        while !entries(&fleet).await && Instant::now() < until {
+            smol::Timer::after(Duration::from_millis(100)).await;
+        }
+        assert!(entries(&fleet).await);
+    });
+}
+
+#[test]
+fn one_machine_that_the_store_turns_away_follows_through_its_peers() {
+    // The way from one daemon to the store is cut while a version is accepted.
+    // Its callers get the new route as well, since members tell it.
+    run(async {
+        let fleet = serving(3).await;
+        fleet.nodes[2].store_link.cut(true);
+        fleet.put_config(30, &["/newer/"]);
+        let served = async |fleet: &HostedFleet| fleet.status(2, "/newer/1", "n").await;
+        assert!(fleet.wait(async |fleet| served(fleet).await == Some(200)).await);
+        fleet.nodes[2].store_link.cut(false);
+    });
+}
+
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    // Every instance answers with another request's id. A request that may not be
+    // repeated is answered as unknown and ran once; its caller never sees the
+    // foreign answer.
+    run(async {
+        let fleet = serving(2).await;
+        fleet.put_config(40, &["/lift/"]);
+        let known = async |fleet: &HostedFleet| fleet.status(0, "/lift/1", "k").await;
+        assert!(fleet.wait(async |fleet| known(fleet).await == Some(200)).await);
+        for node in &fleet.nodes {
+            node.instance.set_manner(Manner::WrongId);
+        }
+        for n in 0..10 {
+            let id = format!("wrong-{n}");
+            let res = fleet.call(0, Method::POST, "/lift/1", &id).await.expect("an answer");
+            assert_eq!(res.status().as_u16(), 502);
+            assert!(!res.headers().contains_key("x-server-stamp"));
+            assert_eq!(fleet.ledger.count(&id), 1);
+        }
+    });
+}
+
+#[test]
+fn what_an_instance_refuses_is_tried_elsewhere_and_what_it_fails_is_told() {
+    // One of two instances sheds everything: requests of both kinds are served by
+    // the other and ran once. Then both fail: the caller gets an instance's own
+    // 500 with its stamp.
+    run(async {
+        let fleet = serving(2).await;
+        fleet.put_config(50, &["/notices/", "/lift/"]);
+        let known = async |fleet: &HostedFleet| fleet.status(0, "/lift/1", "k").await;
+        assert!(fleet.wait(async |fleet| known(fleet).await == Some(200)).await);
+        fleet.nodes[0].instance.set_manner(Manner::Shedding);
+        for n in 0..6 {
+            let id = format!("shed-{n}");
+            let path = if n % 2 == 0 { "/lift/1" } else { "/notices/1" };
+            let res = fleet.call(0, Method::POST, path, &id).await.expect("an answer");
+            assert_eq!(res.status().as_u16(), 200, "{}", fleet.log(0));
+            assert_eq!(fleet.ledger.count(&id), 1);
+        }
+        for node in &fleet.nodes {
+            node.instance.set_manner(Manner::Failing);
+        }
+        let res = fleet.call(0, Method::GET, "/notices/1", "fails").await.expect("an answer");
+        assert_eq!(res.status().as_u16(), 500);
+        assert!(res.headers().contains_key("x-server-stamp"));
+    });
+}
+
+#[test]
+fn a_lost_answer_is_asked_for_elsewhere_before_the_deadline() {
+    // One instance runs requests and never answers. A lookup is answered by the
+    // other well before its deadline, once the first is late for its kind.
+    run(async {
+        let fleet = serving(2).await;
+        for n in 0..60 {
+            fleet.status(0, "/notices/1", &format!("learn-{n}")).await;
+        }
+        fleet.nodes[0].instance.set_manner(Manner::Silent);
+        let began = Instant::now();
+        for n in 0..4 {
+            let status = fleet.status(0, "/notices/1", &format!("lost-{n}")).await;
+            assert_eq!(status, Some(200), "{}", fleet.log(0));
+        }
+        assert!(began.elapsed() < Duration::from_millis(4 * 700), "{:?}", began.elapsed());
+    });
+}
+
+#[test]
+fn another_instance_at_the_address_runs_nothing_meant_for_the_old() {
+    // An instance ends and another takes its address without a word. Requests
+    // meant for the old one are refused by it as not run and served elsewhere.
+    // A report of the old one that was held up does not bring it back.
+    run(async {
+        let fleet = serving(2).await;
+        fleet.nodes[0].instance.set_beats(false);
+        fleet.nodes[0].instance.become_another("i-9");
+        for n in 0..20 {
+            let id = format!("moved-{n}");
+            assert_eq!(fleet.status(0, "/notices/1", &id).await, Some(200), "{}", fleet.log(0));
+            assert_eq!(fleet.ledger.count(&id), 1);
+        }
+        assert!(fleet.nodes[0].instance.beat_as("i-9", 1, false).await);
+        assert!(fleet.nodes[0].instance.beat_as("i-0", 500, false).await);
+        let again = async |fleet: &HostedFleet| {
+            let res = fleet.call(0, Method::GET, "/notices/1", "again").await;
+            res.is_some_and(|res| res.body().starts_with("i-9"))
+        };
+        assert!(fleet.wait(again).await, "{}", fleet.log(0));
+    });
+}
+
+#[test]
+fn a_frozen_host_gets_nothing_until_it_wakes() {
+    // One of three daemons is frozen. Lookups of the others are answered within
+    // their time from the first moment on; after it wakes it is used again, and
+    // what waited at it while it slept is not run for callers who are gone.
+    run(async {
+        let fleet = serving(3).await;
+        for n in 0..60 {
+            fleet.status(0, "/notices/1", &format!("learn-{n}")).await;
+        }
+        fleet.signal(1, "-STOP");
+        let mut slow = 0;
+        for n in 0..40 {
+            let began = Instant::now();
+            let status = fleet.status(0, "/notices/1", &format!("frozen-{n}")).await;
+            assert_eq!(status, Some(200), "frozen-{n}: {}", last_lines(&fleet.log(0)));
+            slow += u32::from(began.elapsed() > Duration::from_millis(900));
+        }
+        assert!(slow <= 1, "{slow} were slow: {}", fleet.log(0));
+        fleet.signal(1, "-CONT");
+        let used = async |fleet: &HostedFleet| {
+            let before = fleet.nodes[1].instance.seen().len();
+            let ids: Vec<String> = (0..24).map(|n| format!("awake-{n}")).collect();
+            fleet.statuses(0, "/notices/1", &ids).await;
+            fleet.nodes[1].instance.seen().len() > before
+        };
+        assert!(fleet.wait(used).await, "{}", fleet.log(0));
+    });
+}
+
+/// Returns the end of a log, where the cause of a failure stands.
+fn last_lines(log: &str) -> String {
+    let lines: Vec<&str> = log.lines().collect();
+    lines[lines.len().saturating_sub(12)..].join("\n")
+}
