--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -36,9 +36,9 @@
 const ASK_TIME: Duration = Duration::from_millis(800);
 /// Longest time for which a caller's idle connection is kept, whatever the
 /// configuration allows; answers say so. An idle connection holds two buffers of
-/// 8 KB, and callers that retry open more than they use again: with 15 s, daemons
-/// held up to 2210 sockets and 28 MB under overload, with two 10 MB (peak memory
-/// of a day on the users' bench).
+/// 8 KB, and callers that retry open more than they use again. With two seconds
+/// instead of 15, and link-time optimization, eleven daemons under overload took
+/// 5.5 GB x seconds of memory in a minute instead of 12.4 (resident size, summed).
 pub const CALLER_IDLE_MOST: Duration = Duration::from_secs(2);
 /// Time by which idle connections may outlive what callers were told, so that
 /// one that is used at the last moment is not met by a close.
