Let large answers leave a narrow link in turn, and free their slots at once

Cause: on the grown deployment links carry 5 Mbit/s, and documents of 90 KB take 0.88 of the link of an exit host. Each was sent over a connection of its own as fast as its window allowed, so that small answers waited behind half a second of others' bytes; and the upstream's slot was held until the caller had taken the last byte, so that calls were refused as busy while the upstream was idle.

Ruled out: processor time (0.02 of 0.1 cores), slots as such (0.77 of them needed).

Change: core has an account of the host's link. Small answers pass, pieces of large ones wait until the link is nearly empty, in the order of when they would have ended alone. The exit side reads an answer whole (256 KB) before it passes it on, refuses what the link could not carry in time before the upstream has done the work, and tells entry daemons how long a large answer would take.

Tests: requests/link.scn replays four documents at once on the virtual clock; hosted::large_answers_on_a_narrow_link_hold_no_slot_and_no_small_answer fails without reading whole.

--- a/crates/core/src/request/choose/kinds.rs
+++ b/crates/core/src/request/choose/kinds.rs
@@ -12,6 +12,9 @@
     pub total: f64,
     /// Mean deviation of that.
     pub deviation: f64,
+    /// Whether the answers are so large that the link of the upstream's host
+    /// counts.
+    pub large: bool,
 }
 
 impl Spread {
--- a/crates/core/src/request/choose/mod.rs
+++ b/crates/core/src/request/choose/mod.rs
@@ -127,6 +127,9 @@
     Erred,
     /// Refused as not run, with the calls then at the upstream.
     Refused { retry_after: Duration, load: Option<u16> },
+    /// Refused as not run, since its large answer could not leave the host in
+    /// time; the upstream itself may have room.
+    LinkBusy,
     /// Certainly not run, since the host could not be reached.
     Unreached,
     /// No whole answer.
@@ -341,6 +344,19 @@
         upstream.erred(now);
     }
 
+    /// Takes in how long one more large answer would take to leave the host of an
+    /// upstream.
+    pub fn link(&mut self, key: UpstreamKey, wait: Duration, now: Instant) {
+        self.at_mut(key).link = Some((wait, now));
+    }
+
+    /// Takes in whether a kind's answers are large.
+    pub fn set_large(&mut self, kind: KindKey, large: bool) {
+        if let Some(spread) = self.kinds.get_mut(&kind) {
+            spread.large = large;
+        }
+    }
+
     /// Records that an attempt was sent.
     pub fn started(&mut self, key: UpstreamKey) {
         self.at_mut(key).outstanding += 1;
@@ -382,7 +398,7 @@
                     upstream.eject(now);
                 }
             }
-            Outcome::Cancelled => {}
+            Outcome::LinkBusy | Outcome::Cancelled => {}
         }
     }
 
@@ -398,7 +414,8 @@
             }
             None if has_room => {
                 let deviation = total / 2.0;
-                self.kinds.insert(kind, Spread { service, total, deviation });
+                let large = false;
+                self.kinds.insert(kind, Spread { service, total, deviation, large });
                 1.0
             }
             None => 1.0,
@@ -409,7 +426,10 @@
         let error = match outcome {
             Outcome::Answered { .. } => 0.0,
             Outcome::Erred | Outcome::Failed => 1.0,
-            Outcome::Refused { .. } | Outcome::Unreached | Outcome::Cancelled => return,
+            Outcome::Refused { .. }
+            | Outcome::LinkBusy
+            | Outcome::Unreached
+            | Outcome::Cancelled => return,
         };
         self.errors += SERVICE_ERROR_SMOOTHING * (error - self.errors);
     }
@@ -485,7 +505,9 @@
         let errors = (upstream.errors(now) - self.errors).max(0.0);
         // A call in a free slot still costs its neighbours something; the small
         // term makes the emptier of two idle upstreams win.
-        time * (1.0 + wait + 0.2 * load / slots) * (1.0 + ERROR_COST * errors)
+        let large = self.kinds.get(&demand.kind).is_some_and(|spread| spread.large);
+        let link = if large { upstream.link_ms(now) } else { 0.0 };
+        (time * (1.0 + wait + 0.2 * load / slots) + link) * (1.0 + ERROR_COST * errors)
     }
 
     /// Tries an upstream that is set aside, rather than none.
--- a/crates/core/src/request/choose/upstream.rs
+++ b/crates/core/src/request/choose/upstream.rs
@@ -37,6 +37,9 @@
     pub speed: Option<f64>,
     pub speed_at: Instant,
     pub hint: Option<(u16, Instant)>,
+    /// Time that one more large answer would have taken to leave its host, and
+    /// when that was so.
+    pub link: Option<(Duration, Instant)>,
     /// Share of answers that were errors, lately, and when that was observed.
     pub errors: f64,
     pub errors_at: Instant,
@@ -69,6 +72,7 @@
             speed: None,
             speed_at: now,
             hint: None,
+            link: None,
             errors: 0.0,
             errors_at: now,
             silent: false,
@@ -114,6 +118,13 @@
         fresh.map_or(own, |(load, _)| own.max(f64::from(load)))
     }
 
+    /// Returns the time that a large answer takes to leave its host, less what
+    /// has left since that was heard, in milliseconds.
+    pub fn link_ms(&self, now: Instant) -> f64 {
+        let Some((wait, at)) = self.link else { return 0.0 };
+        wait.saturating_sub(now.saturating_duration_since(at)).as_secs_f64() * 1e3
+    }
+
     /// Returns the time of a call here, in means of its kind.
     pub fn speed(&self, now: Instant) -> f64 {
         let Some(observed) = self.speed else { return 1.0 };
--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -106,13 +106,17 @@
     Gone,
     /// The queue is at [`MAX_QUEUE`].
     QueueFull { retry_after: Duration },
+    /// Its large answer would leave the host too late.
+    LinkBusy { retry_after: Duration },
 }
 
 impl Refusal {
     /// Returns when to come back, as far as the gate can tell.
     pub fn retry_after(&self) -> Duration {
         match self {
-            Refusal::Busy { retry_after } | Refusal::QueueFull { retry_after } => *retry_after,
+            Refusal::Busy { retry_after }
+            | Refusal::QueueFull { retry_after }
+            | Refusal::LinkBusy { retry_after } => *retry_after,
             Refusal::TooLate | Refusal::Draining | Refusal::Gone => MIN_RETRY_AFTER,
         }
     }
@@ -126,6 +130,7 @@
             Refusal::Draining => "draining",
             Refusal::Gone => "gone",
             Refusal::QueueFull { .. } => "queue-full",
+            Refusal::LinkBusy { .. } => "link-busy",
         })
     }
 }
@@ -269,6 +274,11 @@
         self.times.mean
     }
 
+    /// Returns the mean time that a call of a kind takes at the upstream.
+    pub fn time_of(&self, kind: KindKey) -> Duration {
+        self.times.of(kind)
+    }
+
     /// Returns whether the upstream is leaving.
     pub fn is_draining(&self) -> bool {
         self.draining
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -3,7 +3,8 @@
 //! Two daemons decide about a call. The *entry* daemon, where the caller is
 //! connected, chooses an upstream ([`choose`]) and decides about another
 //! attempt ([`retry`]). The *exit* daemon, on the upstream's host, admits it
-//! ([`gate`]): it alone sends to that upstream, so it counts slots exactly.
+//! ([`gate`]): it alone sends to that upstream, so it counts slots exactly. Each has a
+//! [`link`] that its answers leave by.
 //!
 //! # What "not run" means
 //!
@@ -13,6 +14,7 @@
 
 pub mod choose;
 pub mod gate;
+pub mod link;
 pub mod retry;
 
 use std::time::Duration;
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -8,6 +8,7 @@
 use cicadashift_core::request::gate::{
     Admission, Arrival, CallerKey, End, Gate, KindKey, Ticket, Wake,
 };
+use cicadashift_core::request::link::{Link, Turn};
 use cicadashift_core::request::retry::{Allowance, Attempt, Budget, Call, Verdict};
 use datadriven::TestCase;
 use std::collections::{BTreeMap, HashMap};
@@ -22,6 +23,16 @@
     known: Vec<Known>,
     budget: Budget,
     random: u64,
+    link: Link,
+    large: Vec<Large>,
+}
+
+/// A large answer on its way over the link.
+struct Large {
+    name: String,
+    turn: Turn,
+    left: u64,
+    asks_at_ms: u64,
 }
 
 impl Default for World {
@@ -35,6 +46,8 @@
             known: Vec::new(),
             budget: Budget::new(ALLOWANCE),
             random: 1,
+            link: Link::new(5.0),
+            large: Vec::new(),
         }
     }
 }
@@ -64,6 +77,15 @@
             String::new()
         }
         "outcome" => world.outcome(case),
+        "link" => {
+            world.link = Link::new(number(case, "mbps", 5) as f64);
+            world.large.clear();
+            String::new()
+        }
+        "large" => world.join_link(case),
+        "small" => world.send_small(case),
+        "play" => world.play(case),
+        "room" => world.room(case),
         "retry" => world.retry(case),
         other => format!("no such step: {other}\n"),
     }
@@ -88,6 +110,63 @@
 const ALLOWANCE: Allowance = Allowance { earned: 0.2, saved: 20.0 };
 
 impl World {
+    fn join_link(&mut self, case: &TestCase) -> String {
+        for name in list(case, "answer") {
+            let left = number(case, "bytes", 90_000);
+            let turn = self.link.join(left, self.now());
+            self.large.push(Large { name, turn, left, asks_at_ms: self.now_ms });
+        }
+        self.tell_backlog()
+    }
+
+    /// Hands a small answer over and says when its last byte has left.
+    fn send_small(&mut self, case: &TestCase) -> String {
+        let before = self.link.handed_over(self.now());
+        let bytes = number(case, "bytes", 1000);
+        self.link.sent(bytes, self.now());
+        let behind = (before + self.link.time_of(bytes)).as_millis();
+        format!("has left after {behind} ms\n")
+    }
+
+    /// Lets the large answers ask for their pieces as they are told to.
+    fn play(&mut self, case: &TestCase) -> String {
+        let mut out = String::new();
+        for _ in 0..number(case, "ms", 0) {
+            let now = self.now();
+            for large in &mut self.large {
+                if large.asks_at_ms > self.now_ms {
+                    continue;
+                }
+                let piece = large.left.min(self.link.piece() as u64);
+                match self.link.ask(large.turn, piece, now) {
+                    Ok(()) => large.left -= piece,
+                    Err(wait) => large.asks_at_ms = self.now_ms + wait.as_millis() as u64,
+                }
+                if large.left == 0 {
+                    self.link.leave(large.turn);
+                    out.push_str(&format!("{} is sent at {} ms\n", large.name, self.now_ms));
+                }
+            }
+            self.large.retain(|large| large.left > 0);
+            self.now_ms += 1;
+        }
+        out + &self.tell_backlog()
+    }
+
+    fn room(&mut self, case: &TestCase) -> String {
+        let ms = |name, default| Duration::from_millis(number(case, name, default));
+        let bytes = number(case, "bytes", 90_000);
+        match self.link.room_for(bytes, ms("needed", 130), ms("left", 800), self.now()) {
+            Ok(time) => format!("taken: {} ms on the link\n", time.as_millis()),
+            Err(busy) => format!("refused: busy for {} ms\n", busy.as_millis()),
+        }
+    }
+
+    fn tell_backlog(&self) -> String {
+        let backlog = self.link.backlog(self.now()).as_millis();
+        format!("at {} ms: backlog {backlog} ms\n", self.now_ms)
+    }
+
     fn now(&self) -> Instant {
         self.base + Duration::from_millis(self.now_ms)
     }
--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -193,22 +193,33 @@
 
     /// Sends several GETs to a daemon at once; returns their statuses.
     pub async fn statuses(&self, i: usize, path: &str, ids: &[String]) -> Vec<Option<u16>> {
+        let answers = self.answers(i, path, ids).await;
+        answers.into_iter().map(|res| res.map(|res| res.status().as_u16())).collect()
+    }
+
+    /// Sends several GETs to a daemon at once; returns their answers.
+    pub async fn answers(
+        &self,
+        i: usize,
+        path: &str,
+        ids: &[String],
+    ) -> Vec<Option<Response<String>>> {
         let mut calls: Vec<_> =
-            ids.iter().map(|id| Box::pin(self.status(i, path, id))).map(Some).collect();
-        let mut statuses = vec![None; ids.len()];
+            ids.iter().map(|id| Box::pin(self.call(i, Method::GET, path, id))).map(Some).collect();
+        let mut answers: Vec<_> = ids.iter().map(|_| None).collect();
         std::future::poll_fn(|cx| {
-            for (call, status) in calls.iter_mut().zip(&mut statuses) {
+            for (call, answer) in calls.iter_mut().zip(&mut answers) {
                 if let Some(pending) = call
                     && let Poll::Ready(got) = pending.as_mut().poll(cx)
                 {
-                    *status = got;
+                    *answer = got;
                     *call = None;
                 }
             }
             if calls.iter().all(Option::is_none) { Poll::Ready(()) } else { Poll::Pending }
         })
         .await;
-        statuses
+        answers
     }
 
     /// Waits until something is true.
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -18,6 +18,8 @@
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(200);
 const CONTROL_TIME: Duration = Duration::from_secs(2);
 const MOST: usize = 64 << 20;
+/// Size of the answers under paths that end in `/large`.
+pub const LARGE_BYTES: usize = 240_000;
 
 /// How an instance answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,6 +41,7 @@
     id: Mutex<String>,
     manner: Mutex<Manner>,
     work: Mutex<Duration>,
+    slots: Mutex<u16>,
     draining: Mutex<bool>,
     beats: Mutex<bool>,
     sequence: AtomicU64,
@@ -70,6 +73,7 @@
             id: Mutex::new(id.to_string()),
             manner: Mutex::default(),
             work: Mutex::new(Duration::from_millis(2)),
+            slots: Mutex::new(9),
             draining: Mutex::new(false),
             beats: Mutex::new(true),
             sequence: AtomicU64::new(0),
@@ -115,6 +119,11 @@
         *lock(&self.shared.work) = work;
     }
 
+    /// Changes how many requests it says that it runs at once.
+    pub fn set_slots(&self, slots: u16) {
+        *lock(&self.shared.slots) = slots;
+    }
+
     /// Stops or resumes heartbeats.
     pub fn set_beats(&self, beats: bool) {
         *lock(&self.shared.beats) = beats;
@@ -148,10 +157,11 @@
 
     /// Sends a heartbeat with any content, such as one that was held up.
     pub async fn beat_as(&self, id: &str, sequence: u64, draining: bool) -> bool {
+        let slots = *lock(&self.shared.slots);
         let state = if draining { "draining" } else { "ready" };
         let beat = json!({
             "Address": self.addr,
-            "Info": {"Service": self.service, "Version": "v1", "Zone": "a", "Slots": 9},
+            "Info": {"Service": self.service, "Version": "v1", "Zone": "a", "Slots": slots},
             "Status": {"State": state, "Seq": sequence, "ColdMs": 0},
         });
         self.tell(Method::PUT, id, beat.to_string()).await
@@ -200,7 +210,11 @@
         return std::future::pending().await;
     }
     let echoed = if manner == Manner::WrongId { "of-another" } else { id.as_str() };
-    let mut res = Response::new(body::full(format!("{own} {id} {}", body.len())));
+    let answer = match head.uri.path().ends_with("/large") {
+        true => id.repeat(LARGE_BYTES / id.len().max(1)),
+        false => format!("{own} {id} {}", body.len()),
+    };
+    let mut res = Response::new(body::full(answer));
     if manner == Manner::Failing {
         *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -35,6 +35,9 @@
 /// On answers between daemons: microseconds from sending to the upstream to the
 /// head of its answer.
 pub const SERVICE_US: &str = "cicadashift-service-us";
+/// On answers between daemons: milliseconds that one more large answer of the
+/// usual size would take to leave the exit daemon's host.
+pub const LINK_MS: &str = "cicadashift-link-ms";
 /// Every header of ours starts with this; those from outside that are not
 /// listed for callers are removed.
 pub const PREFIX: &str = "cicadashift-";
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -2,7 +2,9 @@
 
 use super::{Daemon, lock};
 use cicadashift_core::membership::record::{Endpoint, Readiness};
-use cicadashift_core::request::gate::{Admission, Arrival, End, Gate, Refusal, Ticket, Wake};
+use cicadashift_core::request::gate::{
+    Admission, Arrival, End, Gate, KindKey, Refusal, Ticket, Wake,
+};
 use cicadashift_edge::interface::Announcement;
 use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
@@ -251,6 +253,11 @@
         }
     }
 
+    /// Returns the mean time that a call of a kind takes there.
+    pub fn time_of(&self, kind: KindKey) -> Duration {
+        lock(&self.state).gate.time_of(kind)
+    }
+
     /// Returns its load.
     pub fn load(&self) -> Load {
         let state = lock(&self.state);
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -1,6 +1,6 @@
 //! The port for other daemons: control requests and forwarded calls.
 
-use super::request::{exit, headers};
+use super::request::{exit, headers, paced};
 use super::{Daemon, catch_up, gateway, reader, rollout, stage, status};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::witness::Testimony;
@@ -86,7 +86,10 @@
     }
     if let Some(value) = req.headers().get(call::CONTEXT) {
         return match Context::from_header(value.as_bytes()) {
-            Ok(cx) => exit::handle(d, cx, forwarded(req)).await,
+            Ok(cx) => {
+                let res = exit::handle(d.clone(), cx, forwarded(req)).await;
+                paced::by_link(&d, res)
+            }
             Err(err) => headers::plain(StatusCode::BAD_REQUEST, &format!("{err}\n")),
         };
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -37,6 +37,7 @@
 use crate::settings::{InterfaceKind, Settings};
 use crate::store::{Client, keys};
 use cicadashift_core::ids::{HostKey, Incarnation};
+use cicadashift_core::request::link::Link;
 use cicadashift_edge::interface::{Dialect, Document, Interface, Malformed};
 use cicadashift_http::body::Body;
 use cicadashift_http::client::Pool;
@@ -53,8 +54,8 @@
 use smol::channel::Receiver;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Connections kept to one other daemon, for calls and control together.
@@ -109,6 +110,8 @@
     pub services: services::Services,
     /// Upstreams on this host.
     pub gates: gates::Gates,
+    /// The host's link, where the settings say what it carries.
+    pub link: Option<Mutex<Link>>,
     /// The delivery record.
     pub record: record::Record,
     /// The reader's part.
@@ -300,6 +303,7 @@
             liveness: liveness::Liveness::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(),
+            link: settings.link_mbps.map(|mbps| Mutex::new(Link::new(mbps))),
             record: record::Record::new(),
             reader: reader::State::default(),
             gateway: gateway::State::default(),
--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -1,8 +1,9 @@
 //! From the exit daemon's answer to the caller's.
 
 use super::headers;
-use super::payload::{Payload, hold};
+use super::payload::{MAX_HELD, Payload, hold};
 use bytes::Bytes;
+use cicadashift_core::request::link::SMALL_BYTES;
 use cicadashift_core::request::retry::Attempt;
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::hyper::http::response;
@@ -43,6 +44,14 @@
         matches!(self.head.status, StatusCode::INTERNAL_SERVER_ERROR | StatusCode::BAD_GATEWAY)
     }
 
+    /// Returns whether it is so large that the link of the upstream's host counts.
+    pub fn is_large(&self) -> bool {
+        match &self.body {
+            AnswerBody::Whole(buf) => buf.len() as u64 > SMALL_BYTES,
+            AnswerBody::Streaming(_) => true,
+        }
+    }
+
     /// Makes the response to the caller.
     pub fn into_response(self) -> Response<Body> {
         let body = match self.body {
@@ -73,7 +82,7 @@
 pub async fn read(mut head: response::Parts, body: Body) -> Result<Answer, &'static str> {
     headers::strip_ours(&mut head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
-    match hold(body, u64::MAX).await {
+    match hold(body, MAX_HELD, u64::MAX).await {
         Ok(Payload::Held(buf)) => Ok(Answer { head, body: AnswerBody::Whole(buf) }),
         Ok(Payload::Streamed(body)) => {
             let body = body.unwrap_or_else(body::empty);
@@ -85,8 +94,10 @@
 
 /// Returns one of our reasons; text from the network goes no further.
 fn known_reason(text: Option<&str>) -> &'static str {
-    const REASONS: [&str; 13] = [
+    const REASONS: [&str; 15] = [
+        "truncated",
         "busy",
+        "link-busy",
         "too-late",
         "draining",
         "gone",
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -1,10 +1,10 @@
 //! The entry side of a call: match, check, hold the body.
 
 use super::attempts::{self, Work};
-use super::payload::hold;
+use super::payload::{MAX_HELD, hold};
 use super::story::Refuse;
 use super::tracked::Counted;
-use super::{headers, story};
+use super::{headers, paced, story};
 use crate::daemon::Daemon;
 use crate::daemon::source::CALLER_IDLE_MOST;
 use cicadashift_core::config::Route;
@@ -52,7 +52,7 @@
         let seconds = CALLER_IDLE_MOST.as_secs();
         headers::set(res.headers_mut(), "keep-alive", &format!("timeout={seconds}"));
     }
-    res.map(|body| body::tied(body, counted))
+    paced::by_link(&d, res).map(|body| body::tied(body, counted))
 }
 
 async fn serve(
@@ -84,7 +84,7 @@
     let caller = caller_key(&head, peer);
     headers::strip_ours(&mut head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
-    let payload = match exec::timeout(time, hold(incoming, route.max_body)).await {
+    let payload = match exec::timeout(time, hold(incoming, MAX_HELD, route.max_body)).await {
         Some(Ok(payload)) => payload,
         Some(Err(BodyError::TooLong)) => {
             return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the limit\n");
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -1,19 +1,21 @@
 //! The exit side of a call: admit, forward to the upstream on this host, answer.
 
 use super::headers;
+use super::paced::Expected;
+use super::payload::{Payload, hold};
 use super::story::Admit;
 use super::tracked::{Counted, Tracked};
-use crate::daemon::Daemon;
 use crate::daemon::gates::{Local, Pass};
+use crate::daemon::{Daemon, lock};
 use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
-use cicadashift_http::body::Body;
+use cicadashift_core::request::spread;
+use cicadashift_http::body::{self, Body};
 use cicadashift_http::client::{Connection, IDLE_TIME};
 use cicadashift_http::exec;
 use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::header::HeaderMap;
 use cicadashift_http::hyper::{Request, Response, StatusCode};
 use cicadashift_wire::call::{self, Context};
-use http_body_util::BodyExt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -24,6 +26,10 @@
 /// one is used again. The rest is for what is under way.
 const KEEP_SHARE: f64 = 0.7;
 
+/// Largest answer that is read whole before it is passed on, in bytes. Nearly all
+/// documents fit; a handful at a time are less than a megabyte or two.
+const HELD_BYTES: usize = 256 << 10;
+
 /// Answers one forwarded call.
 pub async fn handle(d: Arc<Daemon>, cx: Context, req: Request<Body>) -> Response<Body> {
     let _counted = Counted::new(&d);
@@ -32,13 +38,22 @@
     let Some(local) = d.gates.get(&cx.instance) else {
         return refuse(&d, &cx, Refusal::Gone, arrived, None);
     };
-    let objective = arrived + Duration::from_millis(u64::from(cx.objective_ms));
+    let kind = KindKey(cx.call_kind);
+    let objective = Duration::from_millis(u64::from(cx.objective_ms));
+    let on_link = match time_on_link(&d, kind, local.time_of(kind), objective, arrived) {
+        Ok(time) => time,
+        Err(backlog) => {
+            let retry_after = spread(backlog, fastrand::u64(..));
+            let refusal = Refusal::LinkBusy { retry_after };
+            return refuse(&d, &cx, refusal, arrived, Some(&local));
+        }
+    };
     let arrival = Arrival {
         deadline,
-        objective,
+        objective: arrived + objective.saturating_sub(on_link),
         priority: cx.priority,
         caller: CallerKey(cx.caller),
-        kind: KindKey(cx.call_kind),
+        kind,
     };
     let pass = match local.admit(arrival, arrived).await {
         Ok(pass) => pass,
@@ -52,7 +67,30 @@
         return refuse(&d, &cx, Refusal::TooLate, arrived, Some(&local));
     }
     log_admit(&d, &cx, "run", arrived, Some(&local));
-    forward(d, cx, req, local, pass, deadline).await
+    let expected = Expected::new(&d, kind);
+    let res = forward(d, cx, req, local, pass, deadline).await;
+    drop(expected);
+    res
+}
+
+/// Returns how long a call's answer will take on the host's link.
+///
+/// # Errors
+///
+/// Returns how long the link is busy, where the answer would be too late.
+fn time_on_link(
+    d: &Daemon,
+    kind: KindKey,
+    needed: Duration,
+    left: Duration,
+    now: Instant,
+) -> Result<Duration, Duration> {
+    let Some(link) = &d.link else { return Ok(Duration::ZERO) };
+    let link = lock(link);
+    match link.large(kind) {
+        Some(bytes) => link.room_for(bytes, needed, left, now),
+        None => Ok(Duration::ZERO),
+    }
 }
 
 async fn forward(
@@ -85,7 +123,11 @@
             return unknown(&d, &cx, StatusCode::GATEWAY_TIMEOUT, "deadline", started, &local);
         }
     };
-    answer(&d, &cx, res, connection, local, pass, started)
+    let answered = answer(&d, &cx, res, connection, &local, pass, started);
+    match exec::timeout(deadline.saturating_duration_since(d.clock.now()), answered).await {
+        Some(res) => res,
+        None => unknown(&d, &cx, StatusCode::GATEWAY_TIMEOUT, "deadline", started, &local),
+    }
 }
 
 fn set_upstream_headers(d: &Daemon, cx: &Context, head: &mut HeaderMap, left: Duration) {
@@ -103,12 +145,16 @@
 }
 
 /// Passes an answer on; the slot is given back when its body has ended.
-fn answer(
+///
+/// Most answers are read whole first. Failure: an answer is passed on as fast as
+/// the caller's link takes it. Symptom: a slot of the upstream is held for as
+/// long, and calls are refused while the upstream is idle.
+async fn answer(
     d: &Arc<Daemon>,
     cx: &Context,
     res: Response<Incoming>,
     connection: Connection,
-    local: Arc<Local>,
+    local: &Arc<Local>,
     pass: Pass,
     started: Instant,
 ) -> Response<Body> {
@@ -120,11 +166,11 @@
     if d.dialect.echoes_request_id && !is_own(d, cx, &head.headers) {
         pass.end(End::Failed, d.clock.now());
         d.metrics.incr("upstream.wrong_answer");
-        return unknown(d, cx, StatusCode::BAD_GATEWAY, "wrong-answer", started, &local);
+        return unknown(d, cx, StatusCode::BAD_GATEWAY, "wrong-answer", started, local);
     }
-    if let Some(res) = refusal_of_upstream(d, cx, &head, &local) {
+    if let Some(res) = refusal_of_upstream(d, cx, &head, local) {
         pass.end(End::Shed, d.clock.now());
-        keep_when_whole(incoming, connection, &local);
+        keep_when_whole(incoming, connection, local);
         return res;
     }
     headers::strip_ours(&mut head.headers);
@@ -134,17 +180,50 @@
     let service = d.clock.now().saturating_duration_since(started);
     headers::set(&mut head.headers, call::LOAD, &(load.running + load.queued).to_string());
     headers::set(&mut head.headers, call::SERVICE_US, &service.as_micros().to_string());
-    let d = d.clone();
-    let whole = Tracked::new(incoming, move |whole| {
-        let now = d.clock.now();
-        let took = now.saturating_duration_since(started);
-        d.metrics.time("upstream.time", took);
-        pass.end(if whole { End::Answered(took) } else { End::Failed }, now);
-        if whole && let Some(idle) = idle {
-            connection.keep(&local.pool, idle);
+    let whole = {
+        let (d, local) = (d.clone(), local.clone());
+        Tracked::new(incoming, move |whole| {
+            let now = d.clock.now();
+            let took = now.saturating_duration_since(started);
+            d.metrics.time("upstream.time", took);
+            pass.end(if whole { End::Answered(took) } else { End::Failed }, now);
+            if whole && let Some(idle) = idle {
+                connection.keep(&local.pool, idle);
+            }
+        })
+    };
+    let body = match hold(whole, HELD_BYTES, u64::MAX).await {
+        Ok(Payload::Held(buf)) => {
+            observe_size(d, cx, buf.len() as u64);
+            body::full(buf)
         }
-    });
-    Response::from_parts(head, whole.boxed_unsync())
+        Ok(Payload::Streamed(body)) => {
+            observe_size(d, cx, HELD_BYTES as u64);
+            body.unwrap_or_else(body::empty)
+        }
+        Err(err) => {
+            log::debug!("call {}: upstream {}: {err}", cx.request_id, cx.instance);
+            return unknown(d, cx, StatusCode::BAD_GATEWAY, "truncated", started, local);
+        }
+    };
+    let mut res = Response::from_parts(head, body);
+    tell_link(d, res.headers_mut());
+    res
+}
+
+fn observe_size(d: &Daemon, cx: &Context, bytes: u64) {
+    if let Some(link) = &d.link {
+        lock(link).observe(KindKey(cx.call_kind), bytes);
+    }
+}
+
+/// Tells the entry daemon how busy this host's link is.
+fn tell_link(d: &Daemon, head: &mut HeaderMap) {
+    let Some(link) = &d.link else { return };
+    let wait = lock(link).usual_wait(d.clock.now());
+    if let Some(wait) = wait {
+        headers::set(head, call::LINK_MS, &wait.as_millis().to_string());
+    }
 }
 
 fn is_own(d: &Daemon, cx: &Context, head: &HeaderMap) -> bool {
@@ -217,6 +296,7 @@
     if let Some(load) = local.map(|local| local.load()) {
         headers::set(res.headers_mut(), call::LOAD, &(load.running + load.queued).to_string());
     }
+    tell_link(d, res.headers_mut());
     res
 }
 
--- a/src/daemon/request/mod.rs
+++ b/src/daemon/request/mod.rs
@@ -4,7 +4,8 @@
 //! [`attempts`] chooses an upstream and, through [`send`], sends the request to
 //! the daemon on that upstream's host, as often as the route and the budget allow. There, [`exit`]
 //! admits it and sends it to the upstream. The answer comes back through
-//! [`answer`]. [`headers`], [`payload`] and [`tracked`] are the parts that all of
+//! [`answer`]. Large answers leave by the host's link in turn, see
+//! [`paced`]. [`headers`], [`payload`] and [`tracked`] are the parts that all of
 //! them use, [`story`] the lines that the log gets.
 
 pub mod answer;
@@ -12,6 +13,7 @@
 pub mod entry;
 pub mod exit;
 pub mod headers;
+pub mod paced;
 pub mod payload;
 pub mod send;
 pub mod story;
--- a/src/daemon/request/payload.rs
+++ b/src/daemon/request/payload.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-/// Largest body that is held, in bytes.
+/// Largest body that the entry side holds, in bytes.
 pub const MAX_HELD: usize = 64 << 10;
 
 /// A request body as it can be sent.
@@ -19,13 +19,14 @@
     Streamed(Option<Body>),
 }
 
-/// Reads a body as far as it is held, and readies the rest for streaming.
+/// Reads a body of at most `most` bytes as far as it is held, and readies the
+/// rest for streaming.
 ///
 /// # Errors
 ///
 /// Returns [`BodyError::TooLong`] beyond `most` bytes, and [`BodyError::Broken`]
 /// where the body did not arrive whole.
-pub async fn hold<B>(mut incoming: B, most: u64) -> Result<Payload, BodyError>
+pub async fn hold<B>(mut incoming: B, held_most: usize, most: u64) -> Result<Payload, BodyError>
 where
     B: HttpBody<Data = Bytes> + Unpin + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -40,7 +41,7 @@
         if held.len() as u64 > most {
             return Err(BodyError::TooLong);
         }
-        if held.len() > MAX_HELD {
+        if held.len() > held_most {
             let left = usize::try_from(most - held.len() as u64).unwrap_or(usize::MAX);
             return Ok(Payload::Streamed(Some(streamed(held.freeze(), incoming, size, left))));
         }
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -7,6 +7,7 @@
 use crate::daemon::services::{Flight, Target};
 use crate::daemon::{Daemon, liveness};
 use cicadashift_core::request::choose::Outcome;
+use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::Attempt;
 use cicadashift_http::body::Body;
 use cicadashift_http::client::{IDLE_TIME, SendError};
@@ -58,7 +59,7 @@
         }
     };
     liveness::heard(d, target.host);
-    read_answer(d, work, res, flight, started).await
+    read_answer(d, work, target, res, flight, started).await
 }
 
 /// Sends to the exit side of this daemon.
@@ -92,15 +93,23 @@
 async fn read_answer(
     d: &Arc<Daemon>,
     work: &Work,
+    target: &Target,
     res: Response<Body>,
     flight: Flight,
     started: Instant,
 ) -> Got {
     let (head, body) = res.into_parts();
     let load = headers::number(&head.headers, call::LOAD).map(|load| load as u16);
+    let key = target.choice.key;
+    if let Some(ms) = headers::number(&head.headers, call::LINK_MS) {
+        let now = d.clock.now();
+        let wait = Duration::from_millis(ms);
+        d.services.with(&work.service, |service| service.picker.link(key, wait, now));
+    }
     if let Some((attempt, reason)) = answer::refusal(&head) {
         flight.end(match attempt {
             Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
+            Attempt::NotRun { .. } if reason == "link-busy" => Outcome::LinkBusy,
             Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after, load },
             Attempt::Unknown | Attempt::Answered => Outcome::Failed,
         });
@@ -116,6 +125,9 @@
                 true => Outcome::Erred,
                 false => Outcome::Answered { service, total, load },
             });
+            let kind = KindKey(work.kind);
+            let large = answer.is_large();
+            d.services.with(&work.service, |service| service.picker.set_large(kind, large));
             Got::Answer(answer)
         }
         Some(Err(why)) => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -70,6 +70,10 @@
     /// Decisions of the choice of upstreams; all on unless something is measured.
     #[serde(default)]
     pub choice: Policy,
+    /// Megabits a second that the host's link carries; unset, nothing waits for
+    /// the link.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Bounds that protect the daemon.
     #[serde(default)]
     pub limits: Limits,
@@ -290,6 +294,9 @@
             let slack = self.retries.slack.to_string();
             return Err(field("retries.slack", slack, "is not 0 to 1000000"));
         }
+        if let Some(mbps) = self.link_mbps.filter(|mbps| !(0.1..=1e6).contains(mbps)) {
+            return Err(field("link_mbps", mbps.to_string(), "is not 0.1 to 1000000"));
+        }
         if !(1..=64).contains(&self.threads) {
             return Err(field("threads", self.threads.to_string(), "is not 1 to 64"));
         }
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -6,7 +6,7 @@
 
 use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::fleet::{HostedFleet, config};
-use cicadashift_testkit::hosted::instance::Manner;
+use cicadashift_testkit::hosted::instance::{LARGE_BYTES, Manner};
 use cicadashift_testkit::hosted::store::{CONFIG_KEY, Down};
 use common::run;
 use serde_json::json;
@@ -358,6 +358,45 @@
     });
 }
 
+#[test]
+fn large_answers_on_a_narrow_link_hold_no_slot_and_no_small_answer() {
+    // A host's link carries 2 Mbit/s, so a document of 240 KB takes a second. Two
+    // callers fetch one at once from an instance with one slot. A lookup right
+    // behind them is answered while they are still being sent, since the slot is
+    // free again, and both documents arrive whole.
+    run(async {
+        let mut fleet = serving(1).await;
+        fleet.kill(0);
+        fleet.nodes[0].instance.set_slots(1);
+        fleet.change_settings(0, "link_mbps", json!(2.0));
+        fleet.put_config(2, &["/notices/", "/lookups/"]);
+        fleet.restart(0);
+        assert!(fleet.wait(async |fleet: &HostedFleet| fleet.is_ready(0).await).await);
+        let first = async |fleet: &HostedFleet| fleet.status(0, "/lookups/1", "first").await;
+        assert!(fleet.wait(async |fleet| first(fleet).await == Some(200)).await);
+        let began = Instant::now();
+        let ids: Vec<String> = (0..2).map(|n| format!("document-{n}")).collect();
+        let documents = async {
+            let answers = fleet.answers(0, "/notices/large", &ids).await;
+            (answers, began.elapsed())
+        };
+        let lookup = async {
+            smol::Timer::after(Duration::from_millis(100)).await;
+            let asked = Instant::now();
+            (fleet.status(0, "/lookups/1", "lookup").await, asked.elapsed())
+        };
+        let ((answers, last), (status, took)) = smol::future::zip(documents, lookup).await;
+        assert_eq!(status, Some(200), "{}", fleet.log(0));
+        assert!(took < Duration::from_millis(400), "{took:?}");
+        for (id, res) in ids.iter().zip(&answers) {
+            let res = res.as_ref().expect("an answer");
+            assert_eq!(res.status().as_u16(), 200);
+            assert_eq!(*res.body(), id.repeat(LARGE_BYTES / id.len()));
+        }
+        assert!(last > Duration::from_millis(1800), "both take two seconds: {last:?}");
+    });
+}
+
 #[test]
 fn another_instance_at_the_address_runs_nothing_meant_for_the_old() {
     // An instance ends and another takes its address without a word. Requests
