Test that work for a caller that left ends on the other host

The stand-in instance now notes requests whose connection closed while it was at work. No change to the product.

--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -47,6 +47,7 @@
     sequence: AtomicU64,
     ledger: Ledger,
     seen: Mutex<Vec<(String, String)>>,
+    abandoned: Mutex<Vec<String>>,
 }
 
 /// A running instance.
@@ -79,6 +80,7 @@
             sequence: AtomicU64::new(0),
             ledger,
             seen: Mutex::default(),
+            abandoned: Mutex::default(),
         });
         let (stop, stopped) = server::stop_pair();
         let serving = shared.clone();
@@ -167,6 +169,11 @@
         self.tell(Method::PUT, id, beat.to_string()).await
     }
 
+    /// Returns the requests whose connection closed while it was at work.
+    pub fn abandoned(&self) -> Vec<String> {
+        lock(&self.shared.abandoned).clone()
+    }
+
     /// Returns the callers' services and deadlines that it saw.
     pub fn seen(&self) -> Vec<(String, String)> {
         lock(&self.shared.seen).clone()
@@ -184,6 +191,27 @@
     }
 }
 
+/// A run in progress; dropped before its end when its connection closes.
+struct Run {
+    shared: Arc<Shared>,
+    id: String,
+    ended: bool,
+}
+
+impl Run {
+    fn end(mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.ended {
+            lock(&self.shared.abandoned).push(self.id.clone());
+        }
+    }
+}
+
 async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let own = lock(&shared.id).clone();
     if req.uri().path() == "/health" {
@@ -205,7 +233,9 @@
     let body = body::read(incoming, MOST).await.unwrap_or_default();
     shared.ledger.ran(&id);
     let work = *lock(&shared.work);
+    let run = Run { shared: shared.clone(), id: id.clone(), ended: false };
     smol::Timer::after(work).await;
+    run.end();
     if manner == Manner::Silent {
         return std::future::pending().await;
     }
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -399,6 +399,30 @@
     });
 }
 
+#[test]
+fn an_instance_stops_working_for_a_caller_that_left() {
+    // A caller at one host asks for something that takes two seconds on another host,
+    // and closes its connection after 300 ms. The close passes both daemons, and the
+    // instance ends its work within half a second instead of holding a slot.
+    run(async {
+        let fleet = serving(2).await;
+        assert!(fleet.nodes[0].instance.drain().await);
+        fleet.nodes[1].instance.set_work(Duration::from_secs(2));
+        let caller = fleet.caller(0);
+        let asking = caller.call(Method::GET, "/notices/1", "left");
+        let gone = async {
+            smol::Timer::after(Duration::from_millis(300)).await;
+            None
+        };
+        assert!(smol::future::or(asking, gone).await.is_none());
+        drop(caller);
+        let left = Instant::now();
+        let ended = async |fleet: &HostedFleet| fleet.nodes[1].instance.abandoned() == ["left"];
+        assert!(fleet.wait(ended).await, "{}", fleet.log(1));
+        assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+    });
+}
+
 #[test]
 fn large_answers_on_a_narrow_link_hold_no_slot_and_no_small_answer() {
     // A host's link carries 2 Mbit/s, so a document of 240 KB takes a second. Two
