Ask three hosts at most, and kill every follower in the test of changes

Cause: in a burst on the grown ahc site 4 500 of 8 100 questions to exit daemons were refused within four seconds, and each took time from daemons that had none.

Change: at most three daemons are asked for a call instead of four; for a large answer two for a free link and the third for one that is free in time.

The test of a change as followers die passed without the safeguard: probes between failure domains told of the version. Now the followers of both domains die; without the bound on a follower's word it fails.

--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -5,10 +5,10 @@
 
 /// Most times one call is sent to an upstream, the first included.
 pub const MAX_ATTEMPTS: u32 = 3;
-/// Most daemons asked for one call. A refusal costs its caller a way there and
-/// back, some 3 ms; after four of them the service is full as far as anybody
-/// needs to know.
-const MAX_ASKED: u32 = 4;
+/// Most daemons asked for one call. After three refusals the service is full as far
+/// as anybody needs to know, and each further question takes time from daemons that
+/// have none: of 8 100 questions in four seconds of a burst, 4 500 were refused.
+const MAX_ASKED: u32 = 3;
 
 /// How one attempt ended, as far as the entry daemon knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -30,7 +30,7 @@
 /// document of 90 KB at 5 Mbit/s: asking another host costs some 10 ms.
 const LINK_BUSY_MOST: Duration = Duration::from_millis(160);
 /// Hosts asked in that way.
-const LINKS_ASKED: u32 = 3;
+const LINKS_ASKED: u32 = 2;
 /// Why a host did not take a large answer on.
 const LINK_BUSY: &str = "link-busy";
 /// Why an attempt at a host without a sign of life is given up.
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -80,9 +80,10 @@
 fn a_change_reaches_hosts_that_leave_the_store_to_others() {
     // Seven hosts, five of them in one failure domain, where only two follow the
     // store. Versions follow each other; each is in force in time on all seven, and
-    // those that do not follow take the difference from one that does. Then both
-    // followers die, and a change is accepted in the same moment: the others notice
-    // within a second, ask the store themselves, and have it in time as well.
+    // those that do not follow take the difference from one that does. Then all four
+    // followers of both domains die, and a change is accepted in the same moment: the
+    // others notice within about a second, ask the store themselves, and have it in
+    // time as well.
     run(async {
         let mut fleet = serving(7).await;
         let two = async |fleet: &HostedFleet| fleet.followers().await.len() == 4;
@@ -94,8 +95,8 @@
         }
         let from_members = (0..7).filter(|i| fleet.log(*i).contains("from member")).count();
         assert!(from_members >= 3, "{from_members}");
-        let followers: Vec<usize> =
-            fleet.followers().await.into_iter().filter(|i| *i >= 2).collect();
+        let followers = fleet.followers().await;
+        assert_eq!(followers.len(), 4);
         for i in &followers {
             fleet.kill(*i);
         }
