Let a member ask its own follower while that one speaks

Ruled out: the store (answers in 4 ms), the other follower (had each version within 0.3 s), a lost word (it heard them).

Change: a member asks its own follower while that one spoke within 1.2 s, otherwise another follower at once; after a second another follower, after 1.3 s anybody.

--- a/src/daemon/document.rs
+++ b/src/daemon/document.rs
@@ -4,11 +4,11 @@
 use super::lock;
 use bytes::Bytes;
 use cicadashift_core::config::delta::Delta;
-use cicadashift_core::ids::Version;
+use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_edge::store::Revision;
 use cicadashift_wire::rpc::{Update, UpdateBody};
 use serde_bytes::ByteBuf;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -40,8 +40,8 @@
     confirmed: Option<Instant>,
     /// Since when a member is known to run a newer version.
     behind: Option<Instant>,
-    /// When a member that follows the store last spoke.
-    covered: Option<Instant>,
+    /// When members that follow the store last spoke.
+    words: HashMap<HostKey, Instant>,
 }
 
 impl Documents {
@@ -126,9 +126,10 @@
     }
 
     /// Takes in that a member which follows the store runs a version.
-    pub fn cover(&self, version: Version, now: Instant) {
+    pub fn cover(&self, member: HostKey, version: Version, now: Instant) {
         let mut inner = lock(&self.inner);
-        inner.covered = Some(now);
+        inner.words.retain(|_, at| now.saturating_duration_since(*at) <= COVERED_FOR);
+        inner.words.insert(member, now);
         if version <= inner.version {
             inner.confirmed = Some(now);
         }
@@ -136,8 +137,14 @@
 
     /// Returns whether a member that follows the store spoke lately.
     pub fn is_covered(&self, now: Instant) -> bool {
-        let covered = lock(&self.inner).covered;
-        covered.is_some_and(|at| now.saturating_duration_since(at) <= COVERED_FOR)
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) <= COVERED_FOR;
+        lock(&self.inner).words.values().any(is_recent)
+    }
+
+    /// Returns whether this member said lately that it follows the store.
+    pub fn is_covered_by(&self, member: HostKey, now: Instant) -> bool {
+        let at = lock(&self.inner).words.get(&member).copied();
+        at.is_some_and(|at| now.saturating_duration_since(at) <= COVERED_FOR)
     }
 
     /// Notes that a member runs a newer version; returns for how long one is known.
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -152,7 +152,7 @@
     let Datagram { from: host, kind, active, follows, digest, records } = datagram;
     liveness::heard(d, host);
     if follows {
-        d.versions.document.cover(active, d.clock.now());
+        d.versions.document.cover(host, active, d.clock.now());
     }
     if !records.is_empty() {
         d.members.apply(d, records);
@@ -169,7 +169,7 @@
         exec::spawn(async move {
             match d.settings.interface {
                 InterfaceKind::Own => catch_up::behind(&d, host).await,
-                InterfaceKind::Platform => source::learn_from(&d, host).await,
+                InterfaceKind::Platform => source::learn_from(&d, host, follows).await,
             }
         })
         .detach();
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -36,9 +36,12 @@
 const BURST_WITHIN: Duration = Duration::from_millis(1500);
 /// How recent the store's word must be for this daemon to be following it.
 const FOLLOWING: Duration = Duration::from_secs(15);
-/// How long a daemon leaves a newer version to the way by which it is to come, the
-/// store or its follower, before it asks any member.
-const BEHIND_MOST: (Duration, Duration) = (Duration::from_millis(1300), Duration::from_millis(500));
+/// How long a daemon leaves a newer version to the store or to followers before it
+/// asks any member.
+const BEHIND_MOST: Duration = Duration::from_millis(1300);
+/// How long it leaves one to its own follower, which reads changes that follow each
+/// other [`SETTLE`] apart, before it asks another follower.
+const OWN_FOLLOWER_MOST: Duration = Duration::from_millis(1000);
 /// Time between two looks whether this daemon is to follow the store.
 const LOOK: Duration = Duration::from_millis(150);
 /// Looks in a row that say it need not, before it stops: a follower that comes and
@@ -159,16 +162,8 @@
 }
 
 /// Takes in the version that a member runs, where this daemon lacks it.
-pub async fn learn_from(d: &Arc<Daemon>, member: HostKey) {
-    let now = d.clock.now();
-    let document = &d.versions.document;
-    let behind = document.behind_for(now);
-    let follows = d.follows.load(Ordering::Relaxed) && document.is_fresh(now, FOLLOWING);
-    let followers = d.members.followers();
-    let is_own = teachers(&followers, d.me)[0] == Some(member);
-    let patience = if follows { BEHIND_MOST.0 } else { BEHIND_MOST.1 };
-    let may_wait = (follows || (!is_own && document.is_covered(now))) && document.version() > 0;
-    if may_wait && behind < patience {
+pub async fn learn_from(d: &Arc<Daemon>, member: HostKey, member_follows: bool) {
+    if may_wait(d, member, member_follows) {
         return;
     }
     if d.learning.swap(true, Ordering::Relaxed) {
@@ -182,6 +177,35 @@
     d.learning.store(false, Ordering::Relaxed);
 }
 
+/// Returns whether a newer version that a member runs is better left to the way by
+/// which it is to come.
+///
+/// Failure: members ask whoever speaks first. Symptom: it lacks the version that they
+/// hold, sends the whole text over a narrow link, and the next version is late. So a
+/// member asks its own follower while that one speaks, then another follower; others
+/// only when nothing else helps.
+fn may_wait(d: &Daemon, member: HostKey, member_follows: bool) -> bool {
+    let now = d.clock.now();
+    let document = &d.versions.document;
+    let behind = document.behind_for(now);
+    if document.version() == 0 {
+        return false;
+    }
+    if d.follows.load(Ordering::Relaxed) && document.is_fresh(now, FOLLOWING) {
+        return behind < BEHIND_MOST;
+    }
+    if !document.is_covered(now) {
+        return false;
+    }
+    let own = teachers(&d.members.followers(), d.me)[0];
+    let is_own_there = own.is_some_and(|own| document.is_covered_by(own, now));
+    match (own == Some(member) || !is_own_there, member_follows) {
+        (true, true) => false,
+        (false, true) => behind < OWN_FOLLOWER_MOST,
+        (_, false) => behind < BEHIND_MOST,
+    }
+}
+
 /// Asks a member for what this daemon lacks, and puts it in force.
 async fn fetch(d: &Daemon, to: SocketAddr) -> Result<(), MeshError> {
     let (held, text) = d.versions.document.held();
