--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -193,7 +193,9 @@
     match why {
         "busy" | "queue-full" => "the upstreams asked had no slot free in time; look at load",
         "link-busy" => "the upstreams' hosts could not send a large answer in time; look at links",
-        "no-upstream" => "no upstream took work; look at leaving, lost and silent ones above",
+        "no-upstream" => {
+            "every upstream is leaving, lost or silent, or refused a call a moment ago"
+        }
         "deadline" | "too-late" => "its time was up; the admit lines say where the time went",
         "late" => "the first answer was late, a second upstream was asked",
         "upstream-broke" | "truncated" => "the upstream closed its connection half-way",
