Believe nobody behind for a word that came late

A datagram told of a version; before the task that takes it in ran, the version came into force through the store. The task then noted that a newer version was known, and nothing took that back before the next one. Such a daemon refuses requests without a route although it is current.

Ruled out: load alone; the order of the two steps needs none.

Change: the versions are compared under the lock that holds them.

--- a/src/daemon/document.rs
+++ b/src/daemon/document.rs
@@ -147,10 +147,19 @@
         at.is_some_and(|at| now.saturating_duration_since(at) <= COVERED_FOR)
     }
 
-    /// Notes that a member runs a newer version; returns for how long one is known.
-    pub fn behind_for(&self, now: Instant) -> Duration {
-        let since = *lock(&self.inner).behind.get_or_insert(now);
-        now.saturating_duration_since(since)
+    /// Notes that a member runs a version; returns for how long a newer one than that
+    /// in force is known, or `None` if it is none.
+    ///
+    /// Failure: a member's word is taken in after the version that it told of came into
+    /// force by another way. Symptom: the daemon believes itself behind until the next
+    /// version, and refuses what it could answer. So the versions are compared here.
+    pub fn behind_for(&self, version: Version, now: Instant) -> Option<Duration> {
+        let mut inner = lock(&self.inner);
+        if version <= inner.version {
+            return None;
+        }
+        let since = *inner.behind.get_or_insert(now);
+        Some(now.saturating_duration_since(since))
     }
 
     /// Returns whether the store said within a time that this is the newest
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -169,7 +169,7 @@
         exec::spawn(async move {
             match d.settings.interface {
                 InterfaceKind::Own => catch_up::behind(&d, host).await,
-                InterfaceKind::Platform => source::learn_from(&d, host, follows).await,
+                InterfaceKind::Platform => source::learn_from(&d, host, active, follows).await,
             }
         })
         .detach();
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -162,8 +162,9 @@
 }
 
 /// Takes in the version that a member runs, where this daemon lacks it.
-pub async fn learn_from(d: &Arc<Daemon>, member: HostKey, member_follows: bool) {
-    if may_wait(d, member, member_follows) {
+pub async fn learn_from(d: &Arc<Daemon>, member: HostKey, version: Version, member_follows: bool) {
+    let Some(behind) = d.versions.document.behind_for(version, d.clock.now()) else { return };
+    if may_wait(d, member, member_follows, behind) {
         return;
     }
     if d.learning.swap(true, Ordering::Relaxed) {
@@ -184,10 +185,9 @@
 /// hold, sends the whole text over a narrow link, and the next version is late. So a
 /// member asks its own follower while that one speaks, then another follower; others
 /// only when nothing else helps.
-fn may_wait(d: &Daemon, member: HostKey, member_follows: bool) -> bool {
+fn may_wait(d: &Daemon, member: HostKey, member_follows: bool, behind: Duration) -> bool {
     let now = d.clock.now();
     let document = &d.versions.document;
-    let behind = document.behind_for(now);
     if document.version() == 0 {
         return false;
     }
