--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -149,6 +149,7 @@
         let node = &mut self.nodes[i];
         let log = File::options().create(true).append(true).open(&node.log).expect("a log file");
         let errors = log.try_clone().expect("a second handle");
+        let _no_port_is_tried = ports::starting();
         let child = Command::new(&self.spec.program)
             .args(&self.spec.prefix)
             .arg("daemon")
@@ -313,6 +314,7 @@
 
     fn signal(&self, i: usize, signal: &str) {
         if let Some(pid) = self.pid(i) {
+            let _no_port_is_tried = ports::starting();
             let _sent = Command::new("kill").arg(signal).arg(pid.to_string()).status();
         }
     }
--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -114,6 +114,7 @@
         let node = &mut self.nodes[i];
         let log = File::options().create(true).append(true).open(&node.log).expect("a log file");
         let errors = log.try_clone().expect("a second handle");
+        let _no_port_is_tried = ports::starting();
         let child = Command::new(&self.program)
             .args(["daemon", "--settings"])
             .arg(&node.settings)
@@ -135,6 +136,7 @@
     /// Sends a signal, such as `-TERM`, to a daemon.
     pub fn signal(&self, i: usize, signal: &str) {
         if let Some(child) = &self.nodes[i].child {
+            let _no_port_is_tried = ports::starting();
             let _sent = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
         }
     }
--- a/crates/testkit/src/ports.rs
+++ b/crates/testkit/src/ports.rs
@@ -3,6 +3,7 @@
 use socket2::{Domain, Socket, Type};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
@@ -18,6 +19,16 @@
     IpAddr::V4(Ipv4Addr::new(127, b, c.wrapping_add((n / 250) as u8), (n % 250) as u8 + 2))
 }
 
+/// Keeps processes from being started while ports are looked for, and the reverse.
+///
+/// Failure: a process is started in the moment in which a UDP port is tried. Symptom:
+/// its copy of the socket lives until it has replaced itself, and the daemon finds its
+/// port in use and does not start. Whoever starts a process holds this meanwhile.
+pub fn starting() -> MutexGuard<'static, ()> {
+    static STARTING: Mutex<()> = Mutex::new(());
+    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns different addresses, each free for TCP and UDP a moment ago.
 ///
 /// All are held until the last is found: the system hands out a port again as
@@ -32,6 +43,7 @@
 /// Panics if the system has no free port, which no test can go on from.
 pub fn free<const N: usize>(ip: IpAddr) -> [SocketAddr; N] {
     let mut held = Vec::new();
+    let _no_process_starts = starting();
     while held.len() < N {
         let (addr, tcp) = bind(ip).expect("the system has free ports");
         if UdpSocket::bind(addr).is_ok() {
--- a/src/daemon/document.rs
+++ b/src/daemon/document.rs
@@ -15,9 +15,8 @@
 /// Older texts kept to tell members only what is new. A member is rarely more than
 /// two versions behind; at 150 KB a text these are less than half a megabyte.
 const OLDER_KEPT: usize = 3;
-/// Time after a word of a member that follows the store in which this daemon may
-/// leave the store to it. Such a member speaks twice a second, so that one word may
-/// be lost; a change must be in force within two seconds, of which this leaves a
+/// Time after a heartbeat of a member that follows the store in which this daemon may
+/// leave the store to it. They come twice a second, so that one may be lost; a change must be in force within two seconds, of which this leaves a
 /// narrow link time to carry it.
 const COVERED_FOR: Duration = Duration::from_millis(1200);
 
@@ -40,8 +39,8 @@
     confirmed: Option<Instant>,
     /// Since when a member is known to run a newer version.
     behind: Option<Instant>,
-    /// When members that follow the store last spoke.
-    words: HashMap<HostKey, Instant>,
+    /// When the last heartbeats of members that follow the store came.
+    heartbeats: HashMap<HostKey, Instant>,
 }
 
 impl Documents {
@@ -128,29 +127,29 @@
     /// Takes in that a member which follows the store runs a version.
     pub fn cover(&self, member: HostKey, version: Version, now: Instant) {
         let mut inner = lock(&self.inner);
-        inner.words.retain(|_, at| now.saturating_duration_since(*at) <= COVERED_FOR);
-        inner.words.insert(member, now);
+        inner.heartbeats.retain(|_, at| now.saturating_duration_since(*at) <= COVERED_FOR);
+        inner.heartbeats.insert(member, now);
         if version <= inner.version {
             inner.confirmed = Some(now);
         }
     }
 
-    /// Returns whether a member that follows the store spoke lately.
+    /// Returns whether a member that follows the store sent a heartbeat lately.
     pub fn is_covered(&self, now: Instant) -> bool {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) <= COVERED_FOR;
-        lock(&self.inner).words.values().any(is_recent)
+        lock(&self.inner).heartbeats.values().any(is_recent)
     }
 
-    /// Returns whether this member said lately that it follows the store.
+    /// Returns whether this member, which follows the store, sent a heartbeat lately.
     pub fn is_covered_by(&self, member: HostKey, now: Instant) -> bool {
-        let at = lock(&self.inner).words.get(&member).copied();
+        let at = lock(&self.inner).heartbeats.get(&member).copied();
         at.is_some_and(|at| now.saturating_duration_since(at) <= COVERED_FOR)
     }
 
     /// Notes that a member runs a version; returns for how long a newer one than that
     /// in force is known, or `None` if it is none.
     ///
-    /// Failure: a member's word is taken in after the version that it told of came into
+    /// Failure: a heartbeat is taken in after the version that it told of came into
     /// force by another way. Symptom: the daemon believes itself behind until the next
     /// version, and refuses what it could answer. So the versions are compared here.
     pub fn behind_for(&self, version: Version, now: Instant) -> Option<Duration> {
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -23,9 +23,9 @@
 /// cost it little, and rely on nobody.
 const ALL_FOLLOW: usize = 4;
 
-/// Returns the two followers that tell a member of changes; the first is the one
-/// that it asks.
-pub fn teachers(followers: &[HostKey], member: HostKey) -> [Option<HostKey>; 2] {
+/// Returns the two followers that a member hears heartbeats of; the first is the one
+/// that it asks for changes.
+pub fn followers_of(followers: &[HostKey], member: HostKey) -> [Option<HostKey>; 2] {
     let at = |offset: u64| {
         let place = member.0.wrapping_add(offset) % followers.len().max(1) as u64;
         followers.get(place as usize).copied()
@@ -233,13 +233,13 @@
         fit.into_iter().map(|(_, host)| host).collect()
     }
 
-    /// Returns the members of the own failure domain that are to hear from this
-    /// follower: each is told by two of them.
-    pub fn told_by(&self, followers: &[HostKey], follower: HostKey) -> Vec<HostKey> {
+    /// Returns the members of the own failure domain that this follower sends its
+    /// heartbeats to: each hears two followers.
+    pub fn members_of(&self, followers: &[HostKey], follower: HostKey) -> Vec<HostKey> {
         let live = lock(&self.inner).table.live(Some(&self.domain));
         live.into_iter()
             .filter(|host| !followers.contains(host))
-            .filter(|host| teachers(followers, *host).contains(&Some(follower)))
+            .filter(|host| followers_of(followers, *host).contains(&Some(follower)))
             .collect()
     }
 
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -87,7 +87,7 @@
     if let Some(value) = req.headers().get(call::CONTEXT) {
         return match Context::from_header(value.as_bytes()) {
             Ok(cx) => {
-                let res = exit::handle(d.clone(), cx, forwarded(req), exit::From::Mesh).await;
+                let res = exit::handle(d.clone(), cx, forwarded(req), exit::Origin::Mesh).await;
                 paced::by_link(&d, res)
             }
             Err(err) => headers::plain(StatusCode::BAD_REQUEST, &format!("{err}\n")),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -272,7 +272,7 @@
         ]),
         InterfaceKind::Platform => background.extend([
             exec::spawn(source::run(d.clone())),
-            exec::spawn(source::tell(d.clone())),
+            exec::spawn(source::heartbeats(d.clone())),
             exec::spawn(discovery::run(d.clone())),
         ]),
     }
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -33,7 +33,7 @@
 
 /// Where a call comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum From {
+pub enum Origin {
     /// The entry side of this daemon.
     Here,
     /// Another daemon.
@@ -41,7 +41,12 @@
 }
 
 /// Answers one forwarded call.
-pub async fn handle(d: Arc<Daemon>, cx: Context, req: Request<Body>, from: From) -> Response<Body> {
+pub async fn handle(
+    d: Arc<Daemon>,
+    cx: Context,
+    req: Request<Body>,
+    origin: Origin,
+) -> Response<Body> {
     let _counted = Counted::new(&d);
     let arrived = d.clock.now();
     let deadline = arrived + Duration::from_millis(u64::from(cx.deadline_ms));
@@ -50,11 +55,11 @@
     };
     let kind = KindKey(cx.call_kind);
     let objective = Duration::from_millis(u64::from(cx.objective_ms));
-    let on_link = match (from, time_on_link(&d, &cx, local.time_of(kind), arrived)) {
+    let on_link = match (origin, time_on_link(&d, &cx, local.time_of(kind), arrived)) {
         (_, Ok(time)) => time,
         // The answer leaves by this link wherever it comes from.
-        (From::Here, Err(backlog)) => backlog,
-        (From::Mesh, Err(backlog)) => {
+        (Origin::Here, Err(backlog)) => backlog,
+        (Origin::Mesh, Err(backlog)) => {
             let retry_after = spread(backlog, fastrand::u64(..));
             let refusal = Refusal::LinkBusy { retry_after };
             return refuse(&d, &cx, refusal, arrived, Some(&local));
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -77,7 +77,7 @@
     cx: Context,
     req: Request<Body>,
 ) -> Result<Response<Body>, SendError> {
-    Ok(exit::handle(d.clone(), cx, req, exit::From::Here).await)
+    Ok(exit::handle(d.clone(), cx, req, exit::Origin::Here).await)
 }
 
 /// Sends to the daemon on the upstream's host.
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -1,14 +1,14 @@
 //! The configuration where it lies whole under one key of the store.
 //!
 //! A few daemons of each failure domain follow the key: the store's order of writes
-//! is the order of versions, so nothing has to be agreed. They tell the others of
-//! the domain, who ask one of them for what differs. A daemon that hears nothing
-//! from a follower for about a second follows the key itself. Whoever brings it, a
+//! is the order of versions, so nothing has to be agreed. They send
+//! heartbeats to the others of the domain, who ask one of them for what differs. A
+//! daemon without a heartbeat for about a second follows the key itself. Whoever brings it, a
 //! version is decoded, checked and compiled whole before it comes into force with
 //! one assignment, and only a higher one does. `docs/PLATFORM.md` has what was
 //! weighed.
 
-use super::members::teachers;
+use super::members::followers_of;
 use super::mesh::MeshError;
 use super::versions::Running;
 use super::{Daemon, gossip, mesh};
@@ -47,9 +47,9 @@
 /// Looks in a row that say it need not, before it stops: a follower that comes and
 /// goes is worse than one more.
 const CALM_LOOKS: u32 = 12;
-/// Time between two words of a follower to those it tells. One may be lost before
-/// they follow the store themselves.
-const TELL_EVERY: Duration = Duration::from_millis(500);
+/// Time between two heartbeats of a follower. One may be lost before its members
+/// follow the store themselves.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(500);
 /// Time for one question to a member.
 const ASK_TIME: Duration = Duration::from_millis(800);
 /// Longest time for which a caller's idle connection is kept, whatever the
@@ -118,16 +118,16 @@
     }
 }
 
-/// Tells the members that rely on this daemon that it follows the store, until
-/// cancelled.
-pub async fn tell(d: Arc<Daemon>) {
+/// Sends heartbeats to the members that rely on this daemon while it follows the
+/// store, until cancelled.
+pub async fn heartbeats(d: Arc<Daemon>) {
     loop {
-        smol::Timer::after(TELL_EVERY.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
-        tell_members(&d).await;
+        smol::Timer::after(HEARTBEAT_EVERY.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
+        send_heartbeats(&d).await;
     }
 }
 
-async fn tell_members(d: &Daemon) {
+async fn send_heartbeats(d: &Daemon) {
     if !d.follows.load(Ordering::Relaxed) {
         return;
     }
@@ -135,7 +135,7 @@
     if !followers.contains(&d.me) {
         return;
     }
-    for host in d.members.told_by(&followers, d.me) {
+    for host in d.members.members_of(&followers, d.me) {
         gossip::tell(d, host).await;
     }
 }
@@ -145,7 +145,7 @@
 ///
 /// Failure: followers die, or are cut off from some members but not the store.
 /// Symptom: a change is accepted and not in force on those members. None of them
-/// waits for membership to notice: a second without a word is enough.
+/// waits for membership to notice: a second without a heartbeat is enough.
 fn must_follow(d: &Daemon) -> bool {
     let document = &d.versions.document;
     document.version() == 0
@@ -197,7 +197,7 @@
     if !document.is_covered(now) {
         return false;
     }
-    let own = teachers(&d.members.followers(), d.me)[0];
+    let own = followers_of(&d.members.followers(), d.me)[0];
     let is_own_there = own.is_some_and(|own| document.is_covered_by(own, now));
     match (own == Some(member) || !is_own_there, member_follows) {
         (true, true) => false,
@@ -263,7 +263,7 @@
         let now = d.clock.now();
         note_current(d, now);
         let Some(pair) = newest else { continue };
-        tell_members(d).await;
+        send_heartbeats(d).await;
         let is_burst = last_change.is_some_and(|at| now < at + BURST_WITHIN);
         last_change = Some(now);
         if is_burst {
@@ -302,7 +302,7 @@
             return Ok(after);
         }
         after = revision;
-        tell_members(d).await;
+        send_heartbeats(d).await;
     }
 }
 
