Work on several requests of a caller's connection at once

Cause: callers of the new customer send further requests before the first answer, and hyper reads the next one when the answer before it has been written. Behind one slow lookup the others stood unread; their callers gave them up after a second or a third of their time.

Change: `ahead` in crates/http stands between the socket and hyper, finds the heads that come while hyper is busy, and begins those of idempotent routes without a body. hyper still parses every byte and alone decides on framing, order and the end of the connection; it takes up the answer in progress. An own connection loop on httparse was ruled out: it would have written anew what hyper does about framing, limits and smuggling. A server for each request over a pipe in memory was ruled out as well: one hyper connection with its 8 KB buffer for each request.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,32 +1,37 @@
 //! Accepting connections, within limits, until told to stop.
 
-use crate::body::{self, Body};
+use crate::activity::{Activity, Busy};
+use crate::ahead::{Ahead, Io, MayOverlap, Taken};
+use crate::body::{self, Body, BodyError};
 use crate::{exec, socket};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{self, HeaderMap};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+pub use crate::activity::Idle;
 
 /// Wait after a failed accept, which usually means no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest time between two looks whether a connection is idle, so that a limit
-/// that was lowered takes effect.
-const IDLE_STEP: Duration = Duration::from_secs(5);
-
 /// Time in which a request that is on its way when a stop begins is still read.
 const UNUSED_WAIT: Duration = Duration::from_millis(200);
 
+/// Step in which a stopping connection looks whether requests begun early are left.
+const BEGUN_STEP: Duration = Duration::from_millis(20);
+
 /// What one listening port takes.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Limits {
     /// Connections held at once; further ones are closed.
     pub connections: usize,
@@ -36,94 +41,20 @@
     pub head_time: Duration,
     /// How long a connection may stay without a request.
     pub idle: Idle,
+    /// Which requests of a connection may be worked on beside others of it; `None`
+    /// serves them one at a time.
+    pub may_overlap: Option<Arc<MayOverlap>>,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
         let head_time = Duration::from_secs(30);
-        Limits { connections: 4096, head_bytes: 32 << 10, head_time, idle: Idle::new(head_time) }
-    }
-}
-
-/// How long a connection may stay without a request; can be changed while it
-/// does.
-#[derive(Clone, Debug)]
-pub struct Idle {
-    ms: Arc<AtomicU64>,
-}
-
-impl Idle {
-    /// Makes a limit.
-    pub fn new(time: Duration) -> Idle {
-        Idle { ms: Arc::new(AtomicU64::new(time.as_millis() as u64)) }
-    }
-
-    /// Changes the limit, also for connections that are open.
-    pub fn set(&self, time: Duration) {
-        self.ms.store(time.as_millis() as u64, Ordering::Relaxed);
-    }
-
-    fn get(&self) -> Duration {
-        Duration::from_millis(self.ms.load(Ordering::Relaxed))
-    }
-}
-
-/// What one connection is doing.
-struct Activity {
-    started: Instant,
-    /// Requests whose answers have not ended.
-    busy: AtomicUsize,
-    /// Milliseconds from `started` to the end of the last answer.
-    last_ms: AtomicU64,
-}
-
-/// A request on a connection; ends with its answer's body.
-struct Busy(Arc<Activity>);
-
-impl Busy {
-    fn new(activity: &Arc<Activity>) -> Busy {
-        activity.busy.fetch_add(1, Ordering::Relaxed);
-        Busy(activity.clone())
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        let ms = self.0.started.elapsed().as_millis() as u64;
-        self.0.last_ms.store(ms, Ordering::Relaxed);
-        self.0.busy.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl Activity {
-    fn new() -> Activity {
-        Activity { started: Instant::now(), busy: AtomicUsize::new(0), last_ms: AtomicU64::new(0) }
-    }
-
-    /// Returns after a time, or later when the connection has no request.
-    ///
-    /// hyper waits for the first request of a connection that has had none, also
-    /// when it is told to shut down; a stop would wait with it.
-    async fn unused_after(&self, time: Duration) {
-        smol::Timer::after(time).await;
-        while self.busy.load(Ordering::Relaxed) > 0 {
-            smol::Timer::after(time).await;
-        }
-    }
-
-    /// Returns once the connection has had no request for as long as it may.
-    async fn idle_for(&self, limit: &Idle) {
-        loop {
-            let last = Duration::from_millis(self.last_ms.load(Ordering::Relaxed));
-            let unused = match self.busy.load(Ordering::Relaxed) {
-                0 => self.started.elapsed().saturating_sub(last),
-                _ => Duration::ZERO,
-            };
-            let left = limit.get().saturating_sub(unused);
-            if left.is_zero() {
-                return;
-            }
-            smol::Timer::after(left.min(IDLE_STEP)).await;
+        Limits {
+            connections: 4096,
+            head_bytes: 32 << 10,
+            head_time,
+            idle: Idle::new(head_time),
+            may_overlap: None,
         }
     }
 }
@@ -159,7 +90,7 @@
 /// comes is closed at once; one with a request finishes it first.
 pub async fn serve<F, Fut>(listener: Async<TcpListener>, limits: Limits, stop: Stopped, handler: F)
 where
-    F: Fn(SocketAddr, Request<Incoming>) -> Fut + Send + Sync + 'static,
+    F: Fn(SocketAddr, Request<Body>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let handler = Arc::new(handler);
@@ -202,37 +133,115 @@
     stop: Stopped,
     handler: Arc<F>,
 ) where
-    F: Fn(SocketAddr, Request<Incoming>) -> Fut + Send + Sync + 'static,
+    F: Fn(SocketAddr, Request<Body>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     socket::tune(stream.get_ref());
+    let ahead = Ahead::new(Arc::new(stream), limits.may_overlap, limits.head_bytes);
+    let ahead = Arc::new(ahead);
     let activity = Arc::new(Activity::new());
-    let watched = activity.clone();
-    let service = service_fn(move |req| {
+    let (of_hyper, watched, begins) = (ahead.clone(), activity.clone(), handler.clone());
+    let service = service_fn(move |req: Request<Incoming>| {
         let busy = Busy::new(&watched);
         // Boxed, because a connection's task is as large as the largest future
         // in it: an idle connection would hold the room of a request.
-        let answer = Box::pin(handler(peer, req));
-        async move {
-            let answer = answer.await;
-            Ok::<_, Infallible>(answer.map(|body| body::tied(body, busy)))
-        }
+        Box::pin(answer(peer, req, of_hyper.clone(), handler.clone(), busy))
     });
     let serving = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.head_time + limits.idle.get())
         .max_buf_size(limits.head_bytes.max(8192))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(Io(ahead.clone())), service);
     let mut serving = std::pin::pin!(serving);
-    let ending = smol::future::or(stop.wait(), activity.idle_for(&limits.idle));
-    let first = smol::future::or(async { Some(serving.as_mut().await) }, async {
+    let begin = move |req| exec::spawn(begins(peer, req));
+    let left = poll_fn(|cx| ahead.poll(cx, activity.is_busy(), &begin));
+    let mut left = std::pin::pin!(left);
+    let ending = async {
+        smol::future::or(stop.wait(), activity.idle_for(&limits.idle)).await;
+        finish_begun(&ahead).await;
+    };
+    let served = async {
+        let _closed = serving.as_mut().await;
+        Over::Closed
+    };
+    let gone = async {
+        left.as_mut().await;
+        Over::Closed
+    };
+    let ending = async {
         ending.await;
-        None
-    })
-    .await;
-    if first.is_none() {
+        Over::Ending
+    };
+    let over = smol::future::or(smol::future::or(served, gone), ending).await;
+    if let Over::Ending = over {
         serving.as_mut().graceful_shutdown();
         let unused = activity.unused_after(UNUSED_WAIT);
-        smol::future::or(async { drop(serving.await) }, unused).await;
+        let served = async { drop(serving.await) };
+        smol::future::or(smol::future::or(served, left), unused).await;
+    }
+}
+
+/// Why a connection is no longer served as usual.
+enum Over {
+    /// It is closed, or its caller has left.
+    Closed,
+    /// It is to end with the present request.
+    Ending,
+}
+
+/// Lets the requests that were begun early be answered, and begins no more.
+///
+/// Failure: a stop ends a connection with the present answer. Symptom: requests
+/// behind it, at work on upstreams, are cut off. hyper is told to end the
+/// connection only when it has come to the last of them.
+async fn finish_begun(ahead: &Ahead) {
+    ahead.stop();
+    while ahead.has_begun() {
+        smol::Timer::after(BEGUN_STEP).await;
+    }
+}
+
+/// Answers one request that hyper has come to.
+async fn answer<F, Fut>(
+    peer: SocketAddr,
+    req: Request<Incoming>,
+    ahead: Arc<Ahead>,
+    handler: Arc<F>,
+    busy: Busy,
+) -> Result<Response<Body>, Infallible>
+where
+    F: Fn(SocketAddr, Request<Body>) -> Fut,
+    Fut: Future<Output = Response<Body>>,
+{
+    let (head, incoming) = req.into_parts();
+    let mut res = match ahead.take(&head) {
+        Taken::Begun(task) => task.await,
+        Taken::New(held) => {
+            let mut req = Request::from_parts(head, boxed(incoming));
+            if !held.is_zero() {
+                req.extensions_mut().insert(crate::ahead::Held(held));
+            }
+            handler(peer, req).await
+        }
+    };
+    if ahead.has_begun() {
+        keep_open(res.headers_mut());
+    }
+    Ok(res.map(|body| body::tied(body, busy)))
+}
+
+/// Takes back an answer's word that it ends the connection.
+///
+/// Failure: an answer ends a connection on which further requests were begun.
+/// Symptom: their callers send them again, and work that was nearly done is lost.
+/// The last of them says so in its place.
+fn keep_open(headers: &mut HeaderMap) {
+    headers.remove(header::CONNECTION);
+}
+
+fn boxed(incoming: Incoming) -> Body {
+    if incoming.is_end_stream() {
+        return body::empty();
     }
+    incoming.map_err(|err| BodyError::Broken(err.to_string())).boxed_unsync()
 }
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -4,7 +4,6 @@
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
-use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
 use cicadashift_http::server::{self, Limits, Stop};
 use serde_json::json;
@@ -212,7 +211,7 @@
     }
 }
 
-async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+async fn handle(shared: Arc<Shared>, req: Request<Body>) -> Response<Body> {
     let own = lock(&shared.id).clone();
     if req.uri().path() == "/health" {
         return health(&shared, &own);
--- a/crates/testkit/src/hosted/store.rs
+++ b/crates/testkit/src/hosted/store.rs
@@ -7,7 +7,6 @@
 use base64::engine::general_purpose::STANDARD;
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::exec;
-use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
 use cicadashift_http::server::{self, Limits, Stop};
 use serde_json::{Value, json};
@@ -177,7 +176,7 @@
     }
 }
 
-async fn handle(state: Arc<Mutex<State>>, req: Request<Incoming>) -> Response<Body> {
+async fn handle(state: Arc<Mutex<State>>, req: Request<Body>) -> Response<Body> {
     let faults = {
         let mut state = lock(&state);
         state.calls += 1;
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use cicadashift_http::body::{self, Body, BodyError};
 use cicadashift_http::exec;
-use cicadashift_http::hyper::body::{Frame, Incoming};
+use cicadashift_http::hyper::body::Frame;
 use cicadashift_http::hyper::{Request, Response, StatusCode};
 use cicadashift_http::server::{self, Limits, Stop};
 use http_body_util::{BodyExt, StreamBody};
@@ -198,7 +198,7 @@
     }
 }
 
-async fn handle(state: Arc<Mutex<State>>, req: Request<Incoming>) -> Response<Body> {
+async fn handle(state: Arc<Mutex<State>>, req: Request<Body>) -> Response<Body> {
     let path = req.uri().path().to_string();
     let Ok(buf) = body::read(req.into_body(), 4 * MAX_VALUE).await else {
         return refuse(StatusCode::PAYLOAD_TOO_LARGE, "request too large");
--- a/crates/testkit/src/upstream.rs
+++ b/crates/testkit/src/upstream.rs
@@ -5,7 +5,6 @@
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::client::{Pool, SendError};
 use cicadashift_http::exec;
-use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
 use cicadashift_http::server::{self, Limits, Stop};
 use serde_json::json;
@@ -290,7 +289,7 @@
     }
 }
 
-async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+async fn handle(shared: Arc<Shared>, req: Request<Body>) -> Response<Body> {
     let behaviour = lock(&shared.behaviour).clone();
     let running = shared.running.fetch_add(1, Ordering::SeqCst) + 1;
     let mut guard = Running(shared.clone(), true);
@@ -302,21 +301,22 @@
     }
     guard.1 = false;
     shared.most_running.fetch_max(running, Ordering::SeqCst);
+    let (head, sent) = req.into_parts();
     let header = |name: &str| {
-        req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string()
+        head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string()
     };
     let id = header("cicadashift-request-id");
     shared.executions.fetch_add(1, Ordering::SeqCst);
     shared.ledger.ran(&id);
     *lock(&shared.last_start) = Some(Instant::now());
-    let echo = req.uri().path().starts_with("/echo");
-    let size: usize = req
-        .uri()
+    let echo = head.uri.path().starts_with("/echo");
+    let size: usize = head
+        .uri
         .query()
         .and_then(|query| query.strip_prefix("size="))
         .and_then(|size| size.parse().ok())
         .unwrap_or(0);
-    let sent = body::read(req.into_body(), 64 << 20).await.unwrap_or_default();
+    let sent = body::read(sent, 64 << 20).await.unwrap_or_default();
     smol::Timer::after(work_time(&shared, &behaviour)).await;
     while shared.frozen.load(Ordering::SeqCst) {
         smol::Timer::after(Duration::from_millis(20)).await;
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -6,7 +6,6 @@
 use cicadashift_core::delivery::witness::Testimony;
 use cicadashift_http::body::{self, Body, BodyError};
 use cicadashift_http::client::SendError;
-use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::{Request, Response as HttpResponse, StatusCode};
 use cicadashift_wire::WireError;
 use cicadashift_wire::call::{self, Context};
@@ -78,7 +77,7 @@
 }
 
 /// Answers one request of another daemon.
-pub async fn handle(d: Arc<Daemon>, req: Request<Incoming>) -> HttpResponse<Body> {
+pub async fn handle(d: Arc<Daemon>, req: Request<Body>) -> HttpResponse<Body> {
     let token = req.headers().get(rpc::TOKEN_HEADER).map(|value| value.as_bytes());
     if !token.is_some_and(|token| d.key.accepts_token(token)) {
         d.metrics.incr("mesh.stranger");
@@ -146,7 +145,7 @@
     said
 }
 
-fn forwarded(req: Request<Incoming>) -> Request<Body> {
+fn forwarded(req: Request<Body>) -> Request<Body> {
     let (mut head, incoming) = req.into_parts();
     head.headers.remove(rpc::TOKEN_HEADER);
     headers::strip_hop_by_hop(&mut head.headers);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -40,9 +40,9 @@
 use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::request::link::Link;
 use cicadashift_edge::interface::{Dialect, Document, Interface, Malformed};
+use cicadashift_http::ahead::Target;
 use cicadashift_http::body::Body;
 use cicadashift_http::client::Pool;
-use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::header::HeaderName;
 use cicadashift_http::hyper::{Request, Response};
 use cicadashift_http::server::{self, Idle, Stop, Stopped};
@@ -224,25 +224,29 @@
         head_bytes: limits.head_bytes,
         head_time,
         idle: d.caller_idle.clone(),
+        may_overlap: None,
+    };
+    let of_overlap = d.clone();
+    let may_overlap = move |target: &Target| request::entry::may_overlap(&of_overlap, target);
+    let caller_limits = Limits {
+        connections: limits.caller_connections,
+        may_overlap: Some(Arc::new(may_overlap)),
+        ..base.clone()
     };
-    let caller_limits = Limits { connections: limits.caller_connections, ..base.clone() };
     let mesh_limits =
         Limits { connections: limits.mesh_connections, idle: Idle::new(MESH_IDLE), ..base.clone() };
     let (calls_stop, calls_stopped) = server::stop_pair();
     let (mesh_stop, mesh_stopped) = server::stop_pair();
     let (x, y, z) = (d.clone(), d.clone(), d.clone());
-    let calls = exec::spawn(server::serve(
-        callers,
-        caller_limits.clone(),
-        calls_stopped,
-        move |peer, req| request::entry::handle(x.clone(), peer, req),
-    ));
-    let local = exec::spawn(server::serve(
-        upstreams,
-        caller_limits.clone(),
-        mesh_stopped.clone(),
-        move |_, req| upstreams::handle(y.clone(), req),
-    ));
+    let calls =
+        exec::spawn(server::serve(callers, caller_limits, calls_stopped, move |peer, req| {
+            request::entry::handle(x.clone(), peer, req)
+        }));
+    let local_limits = Limits { connections: limits.caller_connections, ..base.clone() };
+    let local =
+        exec::spawn(server::serve(upstreams, local_limits, mesh_stopped.clone(), move |_, req| {
+            upstreams::handle(y.clone(), req)
+        }));
     let mesh =
         exec::spawn(server::serve(mesh, mesh_limits, mesh_stopped.clone(), move |_, req| {
             mesh::handle(z.clone(), req)
@@ -383,7 +387,7 @@
     handler: F,
 ) -> eyre::Result<Option<smol::Task<()>>>
 where
-    F: Fn(Arc<Daemon>, Request<Incoming>) -> Fut + Send + Sync + 'static,
+    F: Fn(Arc<Daemon>, Request<Body>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let Some(addr) = addr else { return Ok(None) };
--- a/src/daemon/readiness.rs
+++ b/src/daemon/readiness.rs
@@ -4,7 +4,6 @@
 use super::request::headers;
 use cicadashift_edge::interface::Interface;
 use cicadashift_http::body::Body;
-use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::{Request, Response, StatusCode};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -18,7 +17,7 @@
 ///
 /// It does from its first configuration until a planned stop begins. An outage
 /// of the store changes nothing: what is in force goes on serving.
-pub async fn handle(d: Arc<Daemon>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle(d: Arc<Daemon>, req: Request<Body>) -> Response<Body> {
     let path = req.uri().path();
     let hosted = d.hosted.as_ref().is_some_and(|hosted| hosted.is_readiness_path(path));
     if path != READY_PATH && !hosted {
@@ -31,7 +30,7 @@
 }
 
 /// Answers with what the daemon counts.
-pub async fn metrics(d: Arc<Daemon>, req: Request<Incoming>) -> Response<Body> {
+pub async fn metrics(d: Arc<Daemon>, req: Request<Body>) -> Response<Body> {
     match req.uri().path() {
         METRICS_PATH => headers::plain(StatusCode::OK, &d.metrics.text()),
         _ => headers::plain(StatusCode::NOT_FOUND, "no such path; see docs/METRICS.md\n"),
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -17,6 +17,7 @@
 use cicadashift_core::request::choose::{Demand, Reason, UpstreamKey};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::{Attempt, Call, Verdict};
+use cicadashift_http::ahead::Turn;
 use cicadashift_http::body::Body;
 use cicadashift_http::hyper::Response;
 use cicadashift_http::hyper::http::request::Parts;
@@ -62,6 +63,8 @@
     pub allowed: u32,
     /// Its head.
     pub head: Parts,
+    /// When its answer can leave, where others of its connection go before.
+    pub turn: Option<Turn>,
 }
 
 impl Work {
@@ -287,6 +290,10 @@
             Some(time) => smol::Timer::after(time).await,
             None => std::future::pending().await,
         };
+        // An answer that waits for those before it gains nothing from a second try.
+        if let Some(turn) = &work.turn {
+            turn.wait().await;
+        }
         "late"
     };
     let silent = async {
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -11,9 +11,10 @@
 use cicadashift_core::config::compile::Table;
 use cicadashift_core::request::retry::MAX_ATTEMPTS;
 use cicadashift_core::request::spread;
+use cicadashift_http::ahead::{Held, Target, Turn};
 use cicadashift_http::body::{self, Body, BodyError};
 use cicadashift_http::exec;
-use cicadashift_http::hyper::body::{Body as _, Incoming};
+use cicadashift_http::hyper::body::Body as _;
 use cicadashift_http::hyper::http::request::Parts;
 use cicadashift_http::hyper::{Request, Response, StatusCode, header};
 use cicadashift_wire::call;
@@ -36,9 +37,16 @@
 const CALLER_MARGIN: Duration = Duration::from_millis(25);
 
 /// Answers one caller's request.
-pub async fn handle(d: Arc<Daemon>, peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle(d: Arc<Daemon>, peer: SocketAddr, req: Request<Body>) -> Response<Body> {
     let counted = Counted::new(&d);
-    let started = d.clock.now();
+    let now = d.clock.now();
+    let started = match req.extensions().get::<Held>() {
+        Some(Held(time)) => {
+            d.metrics.time("call.held", *time);
+            now.checked_sub(*time).unwrap_or(now)
+        }
+        None => now,
+    };
     let mut res = serve(&d, peer, req, started).await;
     d.metrics.time("call.time", d.clock.now().saturating_duration_since(started));
     // Where a stop has begun the connection ends with this answer, so that the
@@ -58,8 +66,8 @@
 async fn serve(
     d: &Arc<Daemon>,
     peer: SocketAddr,
-    req: Request<Incoming>,
-    now: Instant,
+    req: Request<Body>,
+    started: Instant,
 ) -> Response<Body> {
     let (mut head, incoming) = req.into_parts();
     let request_id = request_id(d, &head);
@@ -70,7 +78,7 @@
         return refuse_unrouted(d, &request_id, version, "no-configuration", wait);
     }
     let Some(route) = find_route(&running.table, &head) else {
-        return no_route(d, &request_id, version, now);
+        return no_route(d, &request_id, version, started);
     };
     if incoming.size_hint().lower() > route.max_body {
         return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the route's limit\n");
@@ -84,6 +92,7 @@
     let caller = caller_key(&head, peer);
     headers::strip_ours(&mut head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
+    let turn = head.extensions.remove::<Turn>();
     let payload = match exec::timeout(time, hold(incoming, MAX_HELD, route.max_body)).await {
         Some(Ok(payload)) => payload,
         Some(Err(BodyError::TooLong)) => {
@@ -95,9 +104,8 @@
     let service = attempts::pick_part(&route, fastrand::u64(..)).to_string();
     let kind = hash(&(&route.host, &route.prefix));
     let repeatable = route.may_repeat(head.method.as_str());
-    let objective = now + route.objective();
-    let started = now;
-    let deadline = now + time;
+    let objective = started + route.objective();
+    let deadline = started + time;
     let work = Work {
         request_id,
         version,
@@ -111,10 +119,29 @@
         objective,
         allowed,
         head,
+        turn,
     };
     attempts::run(d, work, payload).await
 }
 
+/// Returns whether a request may be begun before the answers to those before it on
+/// its connection have left.
+///
+/// An answer before it may end the connection, and its caller then sends it again:
+/// what may not run twice waits. So does everything once a stop has begun, since the
+/// connection is to end.
+pub fn may_overlap(d: &Daemon, target: &Target) -> bool {
+    if d.is_leaving() {
+        return false;
+    }
+    let running = d.versions.running();
+    let host = target.uri.host().or_else(|| target.host.as_ref()?.to_str().ok());
+    let method = target.method.as_str();
+    let key = running.table.find(host, target.uri.path(), method);
+    let route = key.and_then(|key| running.table.route(key));
+    route.is_some_and(|route| route.may_repeat(method))
+}
+
 /// Tells that there is no route, if that is certain.
 ///
 /// Failure: a daemon that does not run a new version yet meets a request for a
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -11,7 +11,6 @@
     Announcement as Announced, Interface, Malformed, Report as Told,
 };
 use cicadashift_http::body::{self, Body};
-use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -45,7 +44,7 @@
 }
 
 /// Answers one request.
-pub async fn handle(d: Arc<Daemon>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle(d: Arc<Daemon>, req: Request<Body>) -> Response<Body> {
     let (head, incoming) = req.into_parts();
     let Ok(buf) = body::read(incoming, MAX_BODY).await else {
         return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n");
