Know a caller that comes back by the moment until which it waits

Ruled out: telling them by the most that callers ever ask for, as was proposed.

Change: the moment at which an attempt's time ends is the same for all attempts of a caller. The entry remembers it for each call that got no answer, and takes the objective from when that caller first came.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -16,6 +16,7 @@
 pub mod gate;
 pub mod link;
 pub mod retry;
+pub mod returning;
 
 use std::time::Duration;
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 //! where the configuration lies whole under one key of the store, and
 //! [`reader`], [`rollout`] and [`stage`] where it is made of objects.
 
+pub mod callers;
 pub mod catch_up;
 pub mod discovery;
 pub mod document;
@@ -109,6 +110,8 @@
     pub members: members::Members,
     /// Signs of life of other hosts.
     pub liveness: liveness::Liveness,
+    /// Callers that were sent away.
+    pub callers: callers::Callers,
     /// Upstreams as chosen from here.
     pub services: services::Services,
     /// Upstreams on this host.
@@ -312,6 +315,7 @@
             versions: versions::Versions::new(&settings, me, life, clock.clone()),
             members: members::Members::new(&settings, me, life, ports.mesh, clock.now()),
             liveness: liveness::Liveness::default(),
+            callers: callers::Callers::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(),
             link: settings.link_mbps.map(|mbps| Mutex::new(Link::new(mbps))),
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -53,6 +53,8 @@
     pub caller: u64,
     /// Names the kind of call: its route.
     pub kind: u64,
+    /// When its caller first came, before it was sent away and came back.
+    pub first_came: Instant,
     /// When its head had been read.
     pub started: Instant,
     /// When it is given up.
@@ -375,7 +377,8 @@
         Reason::NoneNear => "none-near",
         Reason::LastResort => "last-resort",
     };
-    let left = work.deadline.saturating_duration_since(d.clock.now());
+    let now = d.clock.now();
+    let left = work.deadline.saturating_duration_since(now);
     let line = Choose {
         kind: "choose",
         request: &work.request_id,
@@ -386,6 +389,9 @@
         attempt,
         known: target.known,
         left_ms: left.as_millis() as u64,
+        objective_ms: work.objective.saturating_duration_since(now).as_millis() as u64,
+        age_ms: now.saturating_duration_since(work.first_came).as_millis() as u64,
+        rank: work.route.priority.0,
     };
     crate::logging::ordinary(attempt == 1, &line);
 }
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -9,6 +9,7 @@
 use crate::daemon::source::CALLER_IDLE_MOST;
 use cicadashift_core::config::Route;
 use cicadashift_core::config::compile::Table;
+use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::MAX_ATTEMPTS;
 use cicadashift_core::request::spread;
 use cicadashift_http::ahead::{Held, Target, Turn};
@@ -83,8 +84,13 @@
     if incoming.size_hint().lower() > route.max_body {
         return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the route's limit\n");
     }
+    let kind = hash(&(&route.host, &route.prefix));
     let asked = headers::number(&head.headers, d.dialect.deadline_ms.as_str());
-    let asked = asked.map(|ms| Duration::from_millis(ms).saturating_sub(CALLER_MARGIN));
+    let asked = asked.map(Duration::from_millis);
+    let until = asked.map(|asked| started + asked);
+    let came_back = until.and_then(|until| d.callers.first_came(KindKey(kind), until));
+    let first_came = came_back.unwrap_or(started);
+    let asked = asked.map(|asked| asked.saturating_sub(CALLER_MARGIN));
     let time = asked.map_or(route.deadline(), |asked| asked.min(route.deadline()));
     let left = headers::number(&head.headers, call::ATTEMPTS);
     let most = route.max_attempts.unwrap_or(MAX_ATTEMPTS);
@@ -102,9 +108,8 @@
         None => return headers::plain(StatusCode::REQUEST_TIMEOUT, "body came too slowly\n"),
     };
     let service = attempts::pick_part(&route, fastrand::u64(..)).to_string();
-    let kind = hash(&(&route.host, &route.prefix));
     let repeatable = route.may_repeat(head.method.as_str());
-    let objective = started + route.objective();
+    let objective = first_came + route.objective();
     let deadline = started + time;
     let work = Work {
         request_id,
@@ -114,6 +119,7 @@
         repeatable,
         caller,
         kind,
+        first_came,
         started,
         deadline,
         objective,
@@ -121,7 +127,12 @@
         head,
         turn,
     };
-    attempts::run(d, work, payload).await
+    let res = attempts::run(d, work, payload).await;
+    // Whoever gets no answer may come back.
+    if let Some(until) = until.filter(|_| res.status().is_server_error()) {
+        d.callers.sent_away(KindKey(kind), first_came, until, d.clock.now());
+    }
+    res
 }
 
 /// Returns whether a request may be begun before the answers to those before it on
--- a/src/daemon/request/story.rs
+++ b/src/daemon/request/story.rs
@@ -27,6 +27,12 @@
     pub known: usize,
     /// Milliseconds left of the request's time.
     pub left_ms: u64,
+    /// Milliseconds left of its objective.
+    pub objective_ms: u64,
+    /// Milliseconds since its caller first came, with earlier attempts that were refused.
+    pub age_ms: u64,
+    /// Its route's rank.
+    pub rank: u8,
 }
 
 /// How one attempt ended without an answer for the caller.
