Let the calls that upstreams make go before new work

The gate refused nested calls and callers' own alike.

Ruled out: telling nested calls by their deadline, as was proposed.

A nested call has the first rank at the gate, waits there for as long as it may, and is placed by its own objective, since its parent holds a slot meanwhile.

--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -28,8 +28,7 @@
 //! The estimate is a mean. Under a service time with a heavy tail some queued
 //! calls run out of time; they are refused as not run as soon as that is seen.
 
-use super::{MIN_RETRY_AFTER, spread};
-use crate::config::Priority;
+use super::{MIN_RETRY_AFTER, Rank, spread};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -81,8 +80,8 @@
     pub deadline: Instant,
     /// Until when its answer is worth most; at most the deadline.
     pub objective: Instant,
-    /// From its route.
-    pub priority: Priority,
+    /// Which calls it goes before.
+    pub rank: Rank,
     /// Who asked.
     pub caller: CallerKey,
     /// What kind of call it is; calls of one kind take about the same time.
@@ -166,7 +165,7 @@
     Failed,
 }
 
-type Place = (Priority, u64, Ticket);
+type Place = (Rank, u64, Ticket);
 
 /// Admission to one upstream.
 #[derive(Clone, Debug)]
@@ -180,7 +179,7 @@
     turn: u64,
     times: Times,
     /// Work begun lately, by rank, in seconds of service time.
-    work: BTreeMap<Priority, f64>,
+    work: BTreeMap<Rank, f64>,
     /// Turns that went to more urgent calls while less urgent ones waited.
     urgent_turns: u32,
     last_shed: Option<Instant>,
@@ -364,7 +363,7 @@
         self.running.insert(ticket, arrival.kind);
         self.work.values_mut().for_each(|work| *work *= SHARE_DECAY);
         let time = self.times.of(arrival.kind).as_secs_f64();
-        *self.work.entry(arrival.priority).or_default() += time;
+        *self.work.entry(arrival.rank).or_default() += time;
     }
 
     /// Returns how long a call that arrives now is expected to wait.
@@ -373,17 +372,17 @@
     /// slots. More urgent calls will go on arriving and take turns from it, so
     /// that only what they leave counts.
     fn wait_of(&self, arrival: &Arrival) -> Duration {
-        let place = (arrival.priority, self.next_turn(arrival.caller), Ticket(self.next));
+        let place = (arrival.rank, self.next_turn(arrival.caller), Ticket(self.next));
         let before: Duration =
             self.queue.range(..place).map(|(_, before)| self.times.of(before.kind)).sum();
-        let left = 1.0 - self.urgent_share(arrival.priority);
+        let left = 1.0 - self.urgent_share(arrival.rank);
         (before + self.times.mean).div_f64(self.limit() as f64 * left)
     }
 
     /// Returns the share of the work begun lately that was more urgent.
-    fn urgent_share(&self, priority: Priority) -> f64 {
+    fn urgent_share(&self, rank: Rank) -> f64 {
         let total: f64 = self.work.values().sum();
-        let urgent: f64 = self.work.range(..priority).map(|(_, work)| work).sum();
+        let urgent: f64 = self.work.range(..rank).map(|(_, work)| work).sum();
         if total > 0.0 { (urgent / total).min(URGENT_MOST) } else { 0.0 }
     }
 
@@ -394,7 +393,7 @@
     fn enqueue(&mut self, ticket: Ticket, arrival: Arrival) {
         let turn = self.next_turn(arrival.caller);
         self.turns.insert(arrival.caller, turn);
-        let place = (arrival.priority, turn, ticket);
+        let place = (arrival.rank, turn, ticket);
         self.queue.insert(place, arrival);
         self.waiting.insert(ticket, place);
     }
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -4,6 +4,7 @@
 use cicadashift_core::config::Priority;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::request::Rank;
 use cicadashift_core::request::choose::{
     Demand, Known, Outcome, Picker, Place, Policy, UpstreamKey,
 };
@@ -97,16 +98,17 @@
 fn demand(case: &TestCase) -> Demand {
     Demand {
         kind: KindKey(HostKey::of(arg(case, "kind", "any")).0),
-        priority: priority(case),
+        rank: rank(case),
         objective: Duration::from_millis(number(case, "objective", 0)),
     }
 }
 
-fn priority(case: &TestCase) -> Priority {
+fn rank(case: &TestCase) -> Rank {
     match arg(case, "priority", "normal") {
-        "low" => Priority::LOW,
-        "high" => Priority::HIGH,
-        _ => Priority::NORMAL,
+        "nested" => Rank::Nested,
+        "low" => Rank::Caller(Priority::LOW),
+        "high" => Rank::Caller(Priority::HIGH),
+        _ => Rank::Caller(Priority::NORMAL),
     }
 }
 
@@ -186,7 +188,7 @@
 
     fn arrive(&mut self, case: &TestCase) -> String {
         let deadline = self.now() + Duration::from_millis(number(case, "deadline", 1000));
-        let priority = priority(case);
+        let rank = rank(case);
         let caller = CallerKey(HostKey::of(arg(case, "caller", "someone")).0);
         let mut out = String::new();
         for name in list(case, "call") {
@@ -195,7 +197,7 @@
                 ms => self.now() + Duration::from_millis(ms),
             };
             let kind = KindKey(HostKey::of(arg(case, "kind", "any")).0);
-            let arrival = Arrival { deadline, objective, priority, caller, kind };
+            let arrival = Arrival { deadline, objective, rank, caller, kind };
             let admitted = self.gate.admit(arrival, self.now(), 512);
             out.push_str(&match admitted {
                 Admission::Run(ticket) => {
@@ -216,16 +218,19 @@
     }
 
     fn end(&mut self, case: &TestCase) -> String {
-        let name = arg(case, "call", "");
         let took = Duration::from_millis(number(case, "took", 5));
         let end = match arg(case, "as", "answered") {
             "shed" => End::Shed,
             "failed" => End::Failed,
             _ => End::Answered(took),
         };
-        let Some(ticket) = self.ticket(name) else { return format!("no call {name}\n") };
-        let wakes = self.gate.ended(ticket, end, self.now());
-        self.tell(wakes)
+        let mut out = String::new();
+        for name in list(case, "call") {
+            let Some(ticket) = self.ticket(&name) else { return format!("no call {name}\n") };
+            let wakes = self.gate.ended(ticket, end, self.now());
+            out.push_str(&self.told(wakes));
+        }
+        out + &self.load()
     }
 
     fn leave(&mut self, case: &TestCase) -> String {
@@ -239,6 +244,10 @@
     }
 
     fn tell(&mut self, wakes: Vec<Wake>) -> String {
+        self.told(wakes) + &self.load()
+    }
+
+    fn told(&self, wakes: Vec<Wake>) -> String {
         let mut lines: Vec<String> = wakes
             .into_iter()
             .map(|wake| match wake {
@@ -251,7 +260,7 @@
         if lines.iter().all(|line| line.contains("did not run")) {
             lines.sort();
         }
-        lines.concat() + &self.load()
+        lines.concat()
     }
 
     fn load(&self) -> String {
