Share an upstream between ranks by work, not by turns

Cause: nested calls of 30 ms and callers' own of 160 ms shared a slow instance, one turn in five for the long ones. The long ones got 60 in 100 of its work, and nested calls waited 73 ms there in the median, 211 ms in the worst tenth, while each held a slot of its parent.

Ruled out: that they queue at one near host only; placing them by their own objective (600 instead of 63 of 2 700 go to another domain) changed nothing.

Change: the least urgent rank that waits gets its call when four times its work has gone to more urgent ones.

Test: testdata/requests/nested.scn; with turns it lets the long call run after four.

--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -9,9 +9,11 @@
 //!
 //! # Order
 //!
-//! More urgent calls go first, but of [`URGENT_TURNS`] + 1 turns one is for the
-//! least urgent rank that waits. Failure: urgent calls alone fill the upstream.
-//! Symptom: the others wait until their deadlines and none is served. Within a
+//! More urgent calls go first, but one part in [`URGENT_WORK`] + 1 of the work is for
+//! the least urgent rank that waits. Failure: urgent calls alone fill the upstream.
+//! Symptom: the others wait until their deadlines and none is served. It goes by work
+//! and not by turns: with one long call for every four short ones the short, urgent
+//! ones got 40 in 100 of a slow upstream instead of 80. Within a
 //! rank the order is start-time fair queueing over callers: a caller's next turn
 //! comes one step after its last, so a busy caller cannot push back a quiet one.
 //!
@@ -52,8 +54,9 @@
 /// Share of the mean service time that must be left of a deadline for a call to
 /// be begun.
 const LIKELY_SHARE: f64 = 0.9;
-/// Turns in a row that more urgent calls get while less urgent ones wait.
-const URGENT_TURNS: u32 = 4;
+/// Work that more urgent calls get for each of the least urgent one that waits, by the
+/// times of their kinds.
+const URGENT_WORK: u32 = 4;
 /// Most of the upstream's work that more urgent calls are taken to fill: the turn
 /// that others get is never less than this leaves.
 const URGENT_MOST: f64 = 0.8;
@@ -180,8 +183,8 @@
     times: Times,
     /// Work begun lately, by rank, in seconds of service time.
     work: BTreeMap<Rank, f64>,
-    /// Turns that went to more urgent calls while less urgent ones waited.
-    urgent_turns: u32,
+    /// Work begun of more urgent calls while less urgent ones waited.
+    urgent_work: Duration,
     last_shed: Option<Instant>,
     draining: bool,
     next: u64,
@@ -241,7 +244,7 @@
             turn: 0,
             times: Times { mean: FIRST_GUESS, observed: false, by_kind: HashMap::new() },
             work: BTreeMap::new(),
-            urgent_turns: 0,
+            urgent_work: Duration::ZERO,
             last_shed: None,
             draining: false,
             next: 0,
@@ -429,16 +432,17 @@
 
     /// Takes the call whose turn it is out of the queue.
     fn take_next(&mut self) -> Option<(Place, Arrival)> {
-        let most = self.queue.first_key_value()?.0.0;
+        let most = *self.queue.first_key_value()?.0;
         let least = self.queue.last_key_value()?.0.0;
-        let of_least = least != most && self.urgent_turns >= URGENT_TURNS;
-        self.urgent_turns = match least == most || of_least {
-            true => 0,
-            false => self.urgent_turns + 1,
-        };
-        let from = (if of_least { least } else { most }, 0, Ticket(0));
-        let place = *self.queue.range(from..).next()?.0;
+        let from = (least, 0, Ticket(0));
+        let (of_least, waits) = self.queue.range(from..).next()?;
+        let owed = self.times.of(waits.kind) * URGENT_WORK;
+        let place = if self.urgent_work >= owed { *of_least } else { most };
         let arrival = self.queue.remove(&place)?;
+        self.urgent_work = match place.0 == least {
+            true => Duration::ZERO,
+            false => self.urgent_work + self.times.of(arrival.kind),
+        };
         self.waiting.remove(&place.2);
         self.turn = self.turn.max(place.1);
         Some((place, arrival))
