Order calls of a rank by the end of their objective, and take back nested calls

Change: within a rank the call whose objective ends first goes first. Short calls that others wait for have short objectives and go before long ones, and so does who was refused and came back.

Kept: order by objective, shares by work.

--- a/crates/core/src/request/choose/mod.rs
+++ b/crates/core/src/request/choose/mod.rs
@@ -23,8 +23,8 @@
 mod kinds;
 mod upstream;
 
-use super::Rank;
 use super::gate::KindKey;
+use crate::config::Priority;
 use crate::ids::HostKey;
 use crate::membership::record::Readiness;
 use kinds::Spread;
@@ -159,7 +159,7 @@
     /// Its kind.
     pub kind: KindKey,
     /// Its rank.
-    pub rank: Rank,
+    pub priority: Priority,
     /// What is left of the time in which an answer is worth most.
     pub objective: Duration,
 }
@@ -299,7 +299,7 @@
             self.keys().filter(|key| self.at(*key).takes_work() && !tried.contains(key)).collect();
         let is_open = |key: &UpstreamKey| {
             let upstream = self.at(*key);
-            !upstream.is_aside(now) && !upstream.is_backing_off(demand.rank, now)
+            !upstream.is_aside(now) && !upstream.is_backing_off(demand.priority, now)
         };
         let open: Vec<UpstreamKey> = untried.iter().copied().filter(is_open).collect();
         let (near, far): (Vec<_>, Vec<_>) =
@@ -405,7 +405,7 @@
                 upstream.hint = load.map(|load| (load, now)).or(upstream.hint);
                 if policy.back_off {
                     upstream.back_off = Some(BackOff {
-                        rank: demand.rank,
+                        priority: demand.priority,
                         until: now + retry_after.min(BACK_OFF_MOST),
                         retry_after,
                     });
@@ -569,7 +569,7 @@
     ) -> Result<Choice, Duration> {
         let backing_off = untried.iter().filter_map(|key| {
             let upstream = self.at(*key);
-            let waits = upstream.is_backing_off(demand.rank, now) && !upstream.is_aside(now);
+            let waits = upstream.is_backing_off(demand.priority, now) && !upstream.is_aside(now);
             upstream.back_off.filter(|_| waits).map(|refused| refused.retry_after)
         });
         if let Some(retry_after) = backing_off.min() {
--- a/crates/core/src/request/choose/upstream.rs
+++ b/crates/core/src/request/choose/upstream.rs
@@ -1,8 +1,8 @@
 //! One upstream as an entry daemon sees it.
 
 use super::{Known, Policy};
+use crate::config::Priority;
 use crate::membership::record::Readiness;
-use crate::request::Rank;
 use std::time::{Duration, Instant};
 
 /// Weight of a new observation in an upstream's speed.
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BackOff {
     /// Rank of the call.
-    pub rank: Rank,
+    pub priority: Priority,
     /// Until when no call of that rank or a lower one is sent.
     pub until: Instant,
     /// After what time to come back, as it said.
@@ -92,8 +92,8 @@
         self.known.doubted || self.aside_until.is_some_and(|until| now < until)
     }
 
-    pub fn is_backing_off(&self, rank: Rank, now: Instant) -> bool {
-        self.back_off.is_some_and(|refused| now < refused.until && rank >= refused.rank)
+    pub fn is_backing_off(&self, priority: Priority, now: Instant) -> bool {
+        self.back_off.is_some_and(|refused| now < refused.until && priority >= refused.priority)
     }
 
     /// Returns how many calls it may be expected to run at once.
--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -13,9 +13,13 @@
 //! the least urgent rank that waits. Failure: urgent calls alone fill the upstream.
 //! Symptom: the others wait until their deadlines and none is served. It goes by work
 //! and not by turns: with one long call for every four short ones the short, urgent
-//! ones got 40 in 100 of a slow upstream instead of 80. Within a
-//! rank the order is start-time fair queueing over callers: a caller's next turn
-//! comes one step after its last, so a busy caller cannot push back a quiet one.
+//! ones got 40 in 100 of a slow upstream instead of 80.
+//!
+//! Within a rank the call whose objective ends first goes first, so that short calls
+//! which others wait for go before long ones, and a caller that was refused and came
+//! back before one that has just come. A caller's further calls count as if their
+//! objective ended later by the time of each that it has waiting, so that a busy caller
+//! cannot push back a quiet one.
 //!
 //! # Load patterns
 //!
@@ -30,7 +34,8 @@
 //! The estimate is a mean. Under a service time with a heavy tail some queued
 //! calls run out of time; they are refused as not run as soon as that is seen.
 
-use super::{MIN_RETRY_AFTER, Rank, spread};
+use super::{MIN_RETRY_AFTER, spread};
+use crate::config::Priority;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -83,8 +88,8 @@
     pub deadline: Instant,
     /// Until when its answer is worth most; at most the deadline.
     pub objective: Instant,
-    /// Which calls it goes before.
-    pub rank: Rank,
+    /// From its route.
+    pub priority: Priority,
     /// Who asked.
     pub caller: CallerKey,
     /// What kind of call it is; calls of one kind take about the same time.
@@ -168,7 +173,8 @@
     Failed,
 }
 
-type Place = (Rank, u64, Ticket);
+/// Rank, end of the objective as it counts for the order, and ticket.
+type Place = (Priority, Instant, Ticket);
 
 /// Admission to one upstream.
 #[derive(Clone, Debug)]
@@ -178,11 +184,11 @@
     running: BTreeMap<Ticket, KindKey>,
     queue: BTreeMap<Place, Arrival>,
     waiting: HashMap<Ticket, Place>,
-    turns: HashMap<CallerKey, u64>,
-    turn: u64,
+    /// Calls in the queue by caller.
+    by_caller: HashMap<CallerKey, u32>,
     times: Times,
     /// Work begun lately, by rank, in seconds of service time.
-    work: BTreeMap<Rank, f64>,
+    work: BTreeMap<Priority, f64>,
     /// Work begun of more urgent calls while less urgent ones waited.
     urgent_work: Duration,
     last_shed: Option<Instant>,
@@ -240,8 +246,7 @@
             running: BTreeMap::new(),
             queue: BTreeMap::new(),
             waiting: HashMap::new(),
-            turns: HashMap::new(),
-            turn: 0,
+            by_caller: HashMap::new(),
             times: Times { mean: FIRST_GUESS, observed: false, by_kind: HashMap::new() },
             work: BTreeMap::new(),
             urgent_work: Duration::ZERO,
@@ -340,8 +345,8 @@
 
     /// Forgets a waiting call whose caller is gone.
     pub fn cancel(&mut self, ticket: Ticket) {
-        if let Some(place) = self.waiting.remove(&ticket) {
-            self.queue.remove(&place);
+        if let Some(place) = self.waiting.get(&ticket).copied() {
+            let _left = self.leave(place);
         }
     }
 
@@ -359,6 +364,7 @@
         let tickets: Vec<_> = self.queue.keys().map(|place| place.2).collect();
         self.queue.clear();
         self.waiting.clear();
+        self.by_caller.clear();
         tickets.into_iter().map(|ticket| Wake::Refuse(ticket, Refusal::Draining)).collect()
     }
 
@@ -366,7 +372,7 @@
         self.running.insert(ticket, arrival.kind);
         self.work.values_mut().for_each(|work| *work *= SHARE_DECAY);
         let time = self.times.of(arrival.kind).as_secs_f64();
-        *self.work.entry(arrival.rank).or_default() += time;
+        *self.work.entry(arrival.priority).or_default() += time;
     }
 
     /// Returns how long a call that arrives now is expected to wait.
@@ -375,28 +381,43 @@
     /// slots. More urgent calls will go on arriving and take turns from it, so
     /// that only what they leave counts.
     fn wait_of(&self, arrival: &Arrival) -> Duration {
-        let place = (arrival.rank, self.next_turn(arrival.caller), Ticket(self.next));
+        let place = (arrival.priority, self.due(arrival), Ticket(self.next));
         let before: Duration =
             self.queue.range(..place).map(|(_, before)| self.times.of(before.kind)).sum();
-        let left = 1.0 - self.urgent_share(arrival.rank);
+        let left = 1.0 - self.urgent_share(arrival.priority);
         (before + self.times.mean).div_f64(self.limit() as f64 * left)
     }
 
     /// Returns the share of the work begun lately that was more urgent.
-    fn urgent_share(&self, rank: Rank) -> f64 {
+    fn urgent_share(&self, priority: Priority) -> f64 {
         let total: f64 = self.work.values().sum();
-        let urgent: f64 = self.work.range(..rank).map(|(_, work)| work).sum();
+        let urgent: f64 = self.work.range(..priority).map(|(_, work)| work).sum();
         if total > 0.0 { (urgent / total).min(URGENT_MOST) } else { 0.0 }
     }
 
-    fn next_turn(&self, caller: CallerKey) -> u64 {
-        self.turns.get(&caller).map_or(self.turn, |last| self.turn.max(last + 1))
+    /// Returns by when a call counts as due: the end of its objective, put off by each
+    /// call that its caller has waiting.
+    fn due(&self, arrival: &Arrival) -> Instant {
+        let waiting = self.by_caller.get(&arrival.caller).copied().unwrap_or(0);
+        arrival.objective + self.times.mean * waiting
+    }
+
+    /// Takes a call out of the queue.
+    fn leave(&mut self, place: Place) -> Option<Arrival> {
+        let arrival = self.queue.remove(&place)?;
+        self.waiting.remove(&place.2);
+        if let Some(waiting) = self.by_caller.get_mut(&arrival.caller) {
+            *waiting -= 1;
+            if *waiting == 0 {
+                self.by_caller.remove(&arrival.caller);
+            }
+        }
+        Some(arrival)
     }
 
     fn enqueue(&mut self, ticket: Ticket, arrival: Arrival) {
-        let turn = self.next_turn(arrival.caller);
-        self.turns.insert(arrival.caller, turn);
-        let place = (arrival.rank, turn, ticket);
+        let place = (arrival.priority, self.due(&arrival), ticket);
+        *self.by_caller.entry(arrival.caller).or_default() += 1;
         self.queue.insert(place, arrival);
         self.waiting.insert(ticket, place);
     }
@@ -424,9 +445,6 @@
             self.begin(ticket, &arrival);
             wakes.push(Wake::Run(ticket));
         }
-        if self.queue.is_empty() {
-            self.turns.clear();
-        }
         wakes
     }
 
@@ -434,17 +452,15 @@
     fn take_next(&mut self) -> Option<(Place, Arrival)> {
         let most = *self.queue.first_key_value()?.0;
         let least = self.queue.last_key_value()?.0.0;
-        let from = (least, 0, Ticket(0));
-        let (of_least, waits) = self.queue.range(from..).next()?;
+        let mut of_least = self.queue.iter().filter(|(place, _)| place.0 == least);
+        let (first_of_least, waits) = of_least.next()?;
         let owed = self.times.of(waits.kind) * URGENT_WORK;
-        let place = if self.urgent_work >= owed { *of_least } else { most };
-        let arrival = self.queue.remove(&place)?;
+        let place = if self.urgent_work >= owed { *first_of_least } else { most };
+        let arrival = self.leave(place)?;
         self.urgent_work = match place.0 == least {
             true => Duration::ZERO,
             false => self.urgent_work + self.times.of(arrival.kind),
         };
-        self.waiting.remove(&place.2);
-        self.turn = self.turn.max(place.1);
         Some((place, arrival))
     }
 
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -15,23 +15,11 @@
 pub mod choose;
 pub mod gate;
 pub mod link;
-pub mod nested;
 pub mod retry;
 pub mod returning;
 
-use crate::config::Priority;
-use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Which calls go first; smaller goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Rank {
-    /// A call that an upstream makes for one that it runs ([`nested`]).
-    Nested,
-    /// A caller's own, by its route.
-    Caller(Priority),
-}
-
 /// Shortest time a refused caller is told to wait.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -4,8 +4,8 @@
 use crate::{WireError, rpc};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
+use cicadashift_core::config::Priority;
 use cicadashift_core::ids::Version;
-use cicadashift_core::request::Rank;
 use serde::{Deserialize, Serialize};
 
 /// Header between daemons that carries a [`Context`].
@@ -59,8 +59,8 @@
     /// Milliseconds for which the link of the exit daemon's host may be busy for a
     /// large answer to be taken on.
     pub link_most_ms: u32,
-    /// Which calls it goes before.
-    pub rank: Rank,
+    /// From its route.
+    pub priority: Priority,
     /// Names the caller for fairness.
     pub caller: u64,
     /// Names the kind of call, for what its time is known from.
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -13,10 +13,10 @@
 use crate::daemon::services::Target;
 use crate::daemon::{Daemon, liveness};
 use cicadashift_core::config::Route;
+use cicadashift_core::request::MIN_RETRY_AFTER;
 use cicadashift_core::request::choose::{Demand, Reason, UpstreamKey};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::{Attempt, Call, Verdict};
-use cicadashift_core::request::{MIN_RETRY_AFTER, Rank};
 use cicadashift_http::ahead::Turn;
 use cicadashift_http::body::Body;
 use cicadashift_http::hyper::Response;
@@ -53,8 +53,6 @@
     pub caller: u64,
     /// Names the kind of call: its route.
     pub kind: u64,
-    /// Which calls it goes before.
-    pub rank: Rank,
     /// When its caller first came, before it was sent away and came back.
     pub first_came: Instant,
     /// When its head had been read.
@@ -75,7 +73,7 @@
     pub(super) fn demand(&self, now: Instant) -> Demand {
         Demand {
             kind: KindKey(self.kind),
-            rank: self.rank,
+            priority: self.route.priority,
             objective: self.objective.saturating_duration_since(now),
         }
     }
@@ -393,10 +391,7 @@
         left_ms: left.as_millis() as u64,
         objective_ms: work.objective.saturating_duration_since(now).as_millis() as u64,
         age_ms: now.saturating_duration_since(work.first_came).as_millis() as u64,
-        rank: match work.rank {
-            Rank::Nested => "nested".to_string(),
-            Rank::Caller(priority) => priority.0.to_string(),
-        },
+        rank: work.route.priority.0,
     };
     crate::logging::ordinary(attempt == 1, &line);
 }
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -11,7 +11,7 @@
 use cicadashift_core::config::compile::Table;
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::MAX_ATTEMPTS;
-use cicadashift_core::request::{Rank, spread};
+use cicadashift_core::request::spread;
 use cicadashift_http::ahead::{Held, Target, Turn};
 use cicadashift_http::body::{self, Body, BodyError};
 use cicadashift_http::exec;
@@ -88,12 +88,10 @@
     let asked = headers::number(&head.headers, d.dialect.deadline_ms.as_str());
     let asked = asked.map(Duration::from_millis);
     let until = asked.map(|asked| started + asked);
-    let came_back = until.and_then(|until| d.callers.first_came(KindKey(kind), until));
+    let load = d.settings.load;
+    let came_back = until.filter(|_| load.returning);
+    let came_back = came_back.and_then(|until| d.callers.first_came(KindKey(kind), until));
     let first_came = came_back.unwrap_or(started);
-    let rank = match d.callers.is_nested(&request_id) {
-        true => Rank::Nested,
-        false => Rank::Caller(route.priority),
-    };
     let asked = asked.map(|asked| asked.saturating_sub(CALLER_MARGIN));
     let time = asked.map_or(route.deadline(), |asked| asked.min(route.deadline()));
     let left = headers::number(&head.headers, call::ATTEMPTS);
@@ -113,8 +111,8 @@
     };
     let service = attempts::pick_part(&route, fastrand::u64(..)).to_string();
     let repeatable = route.may_repeat(head.method.as_str());
-    let deadline = started + time;
     let objective = first_came + route.objective();
+    let deadline = started + time;
     let work = Work {
         request_id,
         version,
@@ -123,7 +121,6 @@
         repeatable,
         caller,
         kind,
-        rank,
         first_came,
         started,
         deadline,
@@ -147,7 +144,7 @@
 /// what may not run twice waits. So does everything once a stop has begun, since the
 /// connection is to end.
 pub fn may_overlap(d: &Daemon, target: &Target) -> bool {
-    if d.is_leaving() {
+    if d.is_leaving() || !d.settings.load.overlap {
         return false;
     }
     let running = d.versions.running();
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -68,7 +68,7 @@
     let arrival = Arrival {
         deadline,
         objective: arrived + objective.saturating_sub(on_link),
-        rank: cx.rank,
+        priority: cx.priority,
         caller: CallerKey(cx.caller),
         kind,
     };
@@ -119,7 +119,6 @@
 ) -> Response<Body> {
     let started = d.clock.now();
     let left = deadline - started;
-    let _parent = d.callers.runs(&cx.request_id);
     set_upstream_headers(&d, &cx, req.headers_mut(), left);
     let sent = exec::timeout(left, local.pool.send(local.address, req)).await;
     let (res, connection) = match sent {
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -6,7 +6,6 @@
 use super::{exit, headers};
 use crate::daemon::services::{Flight, Target};
 use crate::daemon::{Daemon, liveness};
-use cicadashift_core::request::Rank;
 use cicadashift_core::request::choose::Outcome;
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::Attempt;
@@ -164,9 +163,9 @@
         request_id: work.request_id.clone(),
         instance: target.instance.clone(),
         deadline_ms: ms(left),
-        objective_ms: ms(worth_waiting(work, left, now)),
+        objective_ms: ms(work.objective.saturating_duration_since(now)),
         link_most_ms: ms(link_most),
-        rank: work.rank,
+        priority: work.route.priority,
         caller: work.caller,
         call_kind: work.kind,
         caller_service: d.settings.services.first().cloned().unwrap_or_default(),
@@ -177,18 +176,6 @@
     }
 }
 
-/// Returns how long a call may wait at the upstream's host for a slot and its answer.
-///
-/// A nested call is placed by its own objective, since its parent holds a slot
-/// meanwhile. But once placed it waits as long as it may: one that is late for itself
-/// still lets its parent be answered.
-fn worth_waiting(work: &Work, left: Duration, now: Instant) -> Duration {
-    match work.rank {
-        Rank::Nested => left,
-        Rank::Caller(_) => work.objective.saturating_duration_since(now),
-    }
-}
-
 fn request(work: &Work, body: Body) -> Request<Body> {
     let mut req = Request::new(body);
     *req.method_mut() = work.head.method.clone();
--- a/src/daemon/request/story.rs
+++ b/src/daemon/request/story.rs
@@ -31,8 +31,8 @@
     pub objective_ms: u64,
     /// Milliseconds since its caller first came, with earlier attempts that were refused.
     pub age_ms: u64,
-    /// Its route's rank, or `nested` for what upstreams call.
-    pub rank: String,
+    /// Its route's rank.
+    pub rank: u8,
 }
 
 /// How one attempt ended without an answer for the caller.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -70,6 +70,9 @@
     /// Decisions of the choice of upstreams; all on unless something is measured.
     #[serde(default)]
     pub choice: Policy,
+    /// Decisions about calls under load; all on unless something is measured.
+    #[serde(default)]
+    pub load: LoadPolicy,
     /// Megabits a second that the host's link carries; unset, nothing waits for
     /// the link.
     #[serde(default)]
@@ -102,6 +105,23 @@
     Platform,
 }
 
+/// Decisions about calls under load, each of which can be switched off to measure what
+/// it is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LoadPolicy {
+    /// Work on several requests of a caller's connection at once.
+    pub overlap: bool,
+    /// Count the time that a caller has waited before it was refused and came back.
+    pub returning: bool,
+}
+
+impl Default for LoadPolicy {
+    fn default() -> LoadPolicy {
+        LoadPolicy { overlap: true, returning: true }
+    }
+}
+
 /// Repeated attempts that all daemons together may add to a service's load.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
