Tell apart starts of an instance under one id

Until now its heartbeats were taken for late ones of the earlier start until they had counted as far, or for ever after a farewell or a drain: it got no work.

Change: an upstream's name in the mesh has its start in it, so that a new start is a new upstream everywhere (gate, choice, hints, learned speeds, kept connections, gossip), and only its own host's daemon, which hears its heartbeats, decides which start is the present one. A late report of an earlier start changes nothing for five seconds after the newer one reported last, nor after a farewell; one that claims an earlier start after that is believed, since the host's clock may have gone back. A farewell binds for the start that it names, or for the one that is known.

Ruled out: a field beside the name in records and contexts; every place that compares names would have to compare two things.

--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -37,8 +37,11 @@
 /// What an upstream tells of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
-    /// The instance's name; each start of an upstream has a new one.
+    /// The instance's name.
     pub instance: String,
+    /// When it started, in Unix milliseconds by its own clock, to tell apart starts
+    /// under one name; zero where it does not tell.
+    pub start: u64,
     /// The service that it serves.
     pub service: String,
     /// Where it serves.
@@ -58,8 +61,9 @@
 pub enum Report {
     /// It runs.
     Announce(Announcement),
-    /// It takes no more work and will end.
-    Leave { instance: String },
+    /// It takes no more work and will end; `start` as in [`Announcement`], zero for
+    /// whichever start is known.
+    Leave { instance: String, start: u64 },
 }
 
 /// One whole version of the configuration.
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -44,6 +44,8 @@
     draining: Mutex<bool>,
     beats: Mutex<bool>,
     sequence: AtomicU64,
+    /// When it started, in Unix milliseconds of its own clock.
+    born: AtomicU64,
     ledger: Ledger,
     seen: Mutex<Vec<(String, String)>>,
     abandoned: Mutex<Vec<String>>,
@@ -77,6 +79,7 @@
             draining: Mutex::new(false),
             beats: Mutex::new(true),
             sequence: AtomicU64::new(0),
+            born: AtomicU64::new(1),
             ledger,
             seen: Mutex::default(),
             abandoned: Mutex::default(),
@@ -135,6 +138,16 @@
         *lock(&self.shared.id) = id.to_string();
     }
 
+    /// Starts again under its id at a moment of its own clock: it knows nothing of before
+    /// and counts its heartbeats anew. Returns whether the first was acknowledged.
+    pub async fn start_again(&self, born: u64) -> bool {
+        self.shared.born.store(born, Ordering::Relaxed);
+        self.shared.sequence.store(0, Ordering::Relaxed);
+        *lock(&self.shared.draining) = false;
+        *lock(&self.shared.beats) = true;
+        self.beat().await
+    }
+
     /// Reports that it is leaving; returns whether that was acknowledged.
     pub async fn drain(&self) -> bool {
         *lock(&self.shared.draining) = true;
@@ -158,13 +171,22 @@
 
     /// Sends a heartbeat with any content, such as one that was held up.
     pub async fn beat_as(&self, id: &str, sequence: u64, draining: bool) -> bool {
+        let born = self.shared.born.load(Ordering::Relaxed);
+        self.beat_of_start(id, born, sequence, draining).await
+    }
+
+    /// Sends a heartbeat of any start.
+    pub async fn beat_of_start(&self, id: &str, born: u64, sequence: u64, draining: bool) -> bool {
         let slots = *lock(&self.shared.slots);
         let state = if draining { "draining" } else { "ready" };
-        let beat = json!({
+        let mut beat = json!({
             "Address": self.addr,
             "Info": {"Service": self.service, "Version": "v1", "Zone": "a", "Slots": slots},
             "Status": {"State": state, "Seq": sequence, "ColdMs": 0},
         });
+        if born != 0 {
+            beat["born"] = json!(born);
+        }
         self.tell(Method::PUT, id, beat.to_string()).await
     }
 
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -20,12 +20,20 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Failures to connect in a row after which an upstream is taken for gone.
 const UNREACHED_MOST: u32 = 3;
+/// Time in which reports of an earlier start of an instance may still arrive. The store's
+/// pages speak of seconds; one that claims an older start after that is believed, since
+/// its host's clock may have been set back between two starts.
+const LATE_REPORT: Duration = Duration::from_secs(5);
 /// Instances that ended, remembered so that a late report does not bring one
 /// back. One host has one upstream at a time; sixteen lives are hours.
 const ENDED_KEPT: usize = 16;
 
 /// One upstream on this host.
 pub struct Local {
+    /// Its name in the mesh, which no other start of the instance has.
+    pub name: String,
+    /// The instance's own name.
+    pub instance: String,
     /// Kept connections to it, never more than it takes.
     pub pool: Pool,
     /// Where it serves.
@@ -49,9 +57,15 @@
 
 #[derive(Default)]
 struct Inner {
-    by_instance: HashMap<String, Arc<Local>>,
+    by_name: HashMap<String, Arc<Local>>,
     /// Instances that left or whose address another one has now, newest last.
-    ended: VecDeque<String>,
+    ended: VecDeque<Ended>,
+}
+
+struct Ended {
+    instance: String,
+    start: u64,
+    at: Instant,
 }
 
 impl Gates {
@@ -74,7 +88,8 @@
 
     /// Takes in a report; `false` if the instance is not known.
     pub fn report(&self, d: &Daemon, instance: &str, readiness: Readiness) -> bool {
-        let Some(local) = self.get(instance) else { return false };
+        let known = lock(&self.inner).known(instance);
+        let Some(local) = known else { return false };
         let changed = local.report(readiness, d.clock.now());
         if changed {
             self.publish(d);
@@ -83,8 +98,11 @@
     }
 
     /// Takes an upstream away; its calls in progress end as they may.
-    pub fn remove(&self, d: &Daemon, instance: &str) -> bool {
-        let removed = lock(&self.inner).end(instance);
+    ///
+    /// `start` tells which start of the instance is meant, zero whichever is known. A
+    /// farewell of an earlier one that comes late takes nothing away.
+    pub fn remove(&self, d: &Daemon, instance: &str, start: u64) -> bool {
+        let removed = lock(&self.inner).end(instance, start, d.clock.now());
         let Some(local) = removed else { return false };
         local.drain();
         self.publish(d);
@@ -96,16 +114,18 @@
     /// Failure: the report of an instance that ended arrives after that of the
     /// one which has its address now. Symptom: every call is refused as
     /// misdirected until the next report. The one that answers is believed.
-    pub fn misdirected(&self, d: &Daemon, instance: &str, other: Option<&str>) {
+    pub fn misdirected(&self, d: &Daemon, name: &str, other: Option<&str>) {
         if let Some(other) = other {
-            lock(&self.inner).ended.retain(|ended| ended != other);
+            lock(&self.inner).ended.retain(|ended| ended.instance != other);
+        }
+        if let Some(local) = self.get(name) {
+            self.remove(d, &local.instance, local.start());
         }
-        self.remove(d, instance);
     }
 
-    /// Returns an upstream.
-    pub fn get(&self, instance: &str) -> Option<Arc<Local>> {
-        lock(&self.inner).by_instance.get(instance).cloned()
+    /// Returns an upstream by its name in the mesh.
+    pub fn get(&self, name: &str) -> Option<Arc<Local>> {
+        lock(&self.inner).by_name.get(name).cloned()
     }
 
     /// Returns all upstreams with their load, for `status`.
@@ -115,7 +135,7 @@
 
     fn locals(&self) -> Vec<(String, Arc<Local>)> {
         let inner = lock(&self.inner);
-        inner.by_instance.iter().map(|(name, local)| (name.clone(), local.clone())).collect()
+        inner.by_name.iter().map(|(name, local)| (name.clone(), local.clone())).collect()
     }
 
     fn publish(&self, d: &Daemon) {
@@ -132,7 +152,7 @@
             if local.tick(now) {
                 log::warn!("upstream {name} is taken for gone: no reports and no connection");
                 d.metrics.incr("upstream.lost");
-                let removed = lock(&self.inner).by_instance.remove(&name);
+                let removed = lock(&self.inner).by_name.remove(&name);
                 removed.iter().for_each(|local| local.drain());
                 self.publish(d);
             }
@@ -144,39 +164,65 @@
     /// Returns whether there is news for the mesh, and which upstreams the
     /// announced one replaces.
     fn announce(&mut self, announced: Announcement, now: Instant) -> (bool, Vec<Arc<Local>>) {
-        let name = announced.instance.clone();
-        if self.ended.contains(&name) {
+        let (name, start) = (announced.instance.clone(), announced.start);
+        if self.has_ended(&name, start, now) {
             log::info!("upstream {name} has ended; its late report is not taken in");
             return (false, Vec::new());
         }
-        if let Some(local) = self.by_instance.get(&name) {
-            if local.address == announced.address {
+        if let Some(local) = self.known(&name) {
+            if local.is_later_start_than(start, now) {
+                log::info!("upstream {name} started anew; a late report is not taken in");
+                return (false, Vec::new());
+            }
+            if local.address == announced.address && local.is_start(start) {
                 return (local.renew(announced, now), Vec::new());
             }
         }
-        // An address has one instance: a new one there means that the old ended.
-        let same_place = |local: &Arc<Local>| local.address == announced.address;
-        let replaced: Vec<String> = self
-            .by_instance
-            .iter()
-            .filter(|(_, local)| same_place(local))
-            .map(|(name, _)| name.clone())
+        // An address has one instance, and an instance runs once: a new one means that
+        // the old ended.
+        let is_replaced =
+            |local: &Arc<Local>| local.address == announced.address || local.instance == name;
+        let replaced: Vec<(String, u64)> = self
+            .by_name
+            .values()
+            .filter(|local| is_replaced(local))
+            .map(|local| (local.instance.clone(), local.start()))
             .collect();
-        let mut gone: Vec<_> = replaced.iter().filter_map(|name| self.end(name)).collect();
-        log::info!("upstream {name} of {} announced", announced.service);
+        let end = |(instance, start): &(String, u64)| self.end(instance, *start, now);
+        let gone: Vec<_> = replaced.iter().filter_map(end).collect();
+        // It may only have moved: what is announced has not ended.
+        self.ended.retain(|ended| ended.instance != name || ended.start != start);
+        log::info!("upstream {name} of {} announced, started at {start}", announced.service);
         let local = Arc::new(Local::new(announced, now));
-        gone.extend(self.by_instance.insert(name, local));
+        self.by_name.insert(local.name.clone(), local);
         (true, gone)
     }
 
-    fn end(&mut self, instance: &str) -> Option<Arc<Local>> {
-        if !self.ended.iter().any(|ended| ended == instance) {
-            self.ended.push_back(instance.to_string());
+    /// Returns the start of an instance that is known here.
+    fn known(&self, instance: &str) -> Option<Arc<Local>> {
+        self.by_name.values().find(|local| local.instance == instance).cloned()
+    }
+
+    /// Returns whether a report is of a start that has ended.
+    fn has_ended(&self, instance: &str, start: u64, now: Instant) -> bool {
+        self.ended.iter().filter(|ended| ended.instance == instance).any(|ended| {
+            let is_late = now.saturating_duration_since(ended.at) < LATE_REPORT;
+            start == ended.start || start == 0 || (start < ended.start && is_late)
+        })
+    }
+
+    fn end(&mut self, instance: &str, start: u64, now: Instant) -> Option<Arc<Local>> {
+        let known = self.known(instance);
+        if known.as_ref().is_some_and(|local| !local.is_start(start)) {
+            return None;
         }
+        let start = known.as_ref().map_or(start, |local| local.start());
+        self.ended.retain(|ended| ended.instance != instance || ended.start != start);
+        self.ended.push_back(Ended { instance: instance.to_string(), start, at: now });
         while self.ended.len() > ENDED_KEPT {
             self.ended.pop_front();
         }
-        self.by_instance.remove(instance)
+        self.by_name.remove(&known?.name)
     }
 }
 
@@ -202,9 +248,34 @@
         }
         let connections = usize::from(announced.slots);
         let address = announced.address;
+        let instance = announced.instance.clone();
+        let name = match announced.start {
+            0 => instance.clone(),
+            start => format!("{instance}@{start}"),
+        };
         let state =
             LocalState { gate, announced, reported: now, unreached: 0, waiting: HashMap::new() };
-        Local { pool: Pool::new(connections), address, state: Mutex::new(state) }
+        let pool = Pool::new(connections);
+        Local { name, instance, pool, address, state: Mutex::new(state) }
+    }
+
+    /// Returns when it started, zero where that is not told.
+    fn start(&self) -> u64 {
+        lock(&self.state).announced.start
+    }
+
+    /// Returns whether a report may be of this start.
+    fn is_start(&self, start: u64) -> bool {
+        let own = self.start();
+        own == start || own == 0 || start == 0
+    }
+
+    /// Returns whether a report is of an earlier start and comes late: this one has
+    /// reported itself since.
+    fn is_later_start_than(&self, start: u64, now: Instant) -> bool {
+        let reported = lock(&self.state).reported;
+        let is_live = now.saturating_duration_since(reported) < LATE_REPORT;
+        start != 0 && start < self.start() && is_live
     }
 
     /// Decides about a call, waiting in the queue if need be.
@@ -246,7 +317,7 @@
     pub fn endpoint(&self) -> Endpoint {
         let state = lock(&self.state);
         Endpoint {
-            instance: state.announced.instance.clone(),
+            instance: self.name.clone(),
             service: state.announced.service.clone(),
             slots: state.announced.slots,
             readiness: state.announced.readiness,
@@ -282,7 +353,8 @@
         let readiness = announced.readiness;
         let slots_changed = state.announced.slots != announced.slots;
         let was = state.announced.readiness;
-        state.announced = Announcement { readiness: was, ..announced };
+        let start = if announced.start == 0 { state.announced.start } else { announced.start };
+        state.announced = Announcement { readiness: was, start, ..announced };
         state.take_readiness(readiness) || slots_changed
     }
 
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -60,6 +60,7 @@
     let load = headers::text(res.headers(), d.dialect.load.as_ref()?.as_str())?;
     Some(Announcement {
         instance: instance.to_string(),
+        start: 0,
         service: service.clone(),
         address,
         slots: load.rsplit(',').next()?.trim().parse().ok().filter(|slots| *slots > 0)?,
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -119,7 +119,7 @@
 ) -> Response<Body> {
     let started = d.clock.now();
     let left = deadline - started;
-    set_upstream_headers(&d, &cx, req.headers_mut(), left);
+    set_upstream_headers(&d, &cx, &local.instance, req.headers_mut(), left);
     let sent = exec::timeout(left, local.pool.send(local.address, req)).await;
     let (res, connection) = match sent {
         Some(Ok(answered)) => answered,
@@ -146,7 +146,13 @@
     }
 }
 
-fn set_upstream_headers(d: &Daemon, cx: &Context, head: &mut HeaderMap, left: Duration) {
+fn set_upstream_headers(
+    d: &Daemon,
+    cx: &Context,
+    instance: &str,
+    head: &mut HeaderMap,
+    left: Duration,
+) {
     let dialect = &d.dialect;
     headers::strip_ours(head);
     headers::insert(head, &dialect.request_id, &cx.request_id);
@@ -155,7 +161,7 @@
         headers::insert(head, name, &cx.caller_service);
     }
     match &dialect.expected_instance {
-        Some(name) => headers::insert(head, name, &cx.instance),
+        Some(name) => headers::insert(head, name, instance),
         None => headers::set(head, call::ATTEMPTS, &cx.attempts.to_string()),
     }
 }
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -74,9 +74,9 @@
 fn take_report(d: &Daemon, report: Told) -> Response<Body> {
     match report {
         Told::Announce(announced) => d.gates.announce(d, announced),
-        Told::Leave { instance } => {
+        Told::Leave { instance, start } => {
             log::info!("upstream {instance} left");
-            d.gates.remove(d, &instance);
+            d.gates.remove(d, &instance, start);
         }
     }
     json(serde_json::json!({}))
@@ -107,6 +107,7 @@
         d,
         Announced {
             instance: announcement.instance,
+            start: 0,
             service: announcement.service,
             address: announcement.address,
             slots: announcement.slots,
@@ -132,7 +133,7 @@
 
 fn leave(d: &Daemon, instance: &str) -> Response<Body> {
     log::info!("upstream {instance} left");
-    match d.gates.remove(d, instance) {
+    match d.gates.remove(d, instance, 0) {
         true => headers::plain(StatusCode::OK, "gone\n"),
         false => headers::plain(StatusCode::NOT_FOUND, "not announced\n"),
     }
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -498,6 +498,44 @@
     });
 }
 
+#[test]
+fn an_instance_that_starts_again_under_its_id_is_another_one() {
+    // An instance has counted its heartbeats to 900 and drains, which is acknowledged.
+    // It starts again under its id and counts from zero. Callers are served by the new
+    // start; a held-up heartbeat of the old one, that it drains, takes nothing away.
+    run(async {
+        let fleet = serving(1).await;
+        let instance = &fleet.nodes[0].instance;
+        assert!(instance.start_again(1_000).await);
+        assert!(instance.beat_of_start("i-0", 1_000, 900, true).await);
+        assert_eq!(fleet.status(0, "/notices/1", "drained").await, Some(503));
+        assert!(instance.start_again(2_000).await);
+        assert_eq!(fleet.status(0, "/notices/1", "new").await, Some(200), "{}", fleet.log(0));
+        assert!(instance.beat_of_start("i-0", 1_000, 901, true).await);
+        assert!(instance.beat_of_start("i-0", 0, 902, true).await);
+        for n in 0..10 {
+            let status = fleet.status(0, "/notices/1", &format!("still-{n}")).await;
+            assert_eq!(status, Some(200), "{}", fleet.log(0));
+        }
+    });
+}
+
+#[test]
+fn an_instance_that_left_may_start_again_under_its_id() {
+    // An instance says that it is gone, and a late heartbeat of it brings nothing back.
+    // It starts again under its id and is served to callers.
+    run(async {
+        let fleet = serving(1).await;
+        let instance = &fleet.nodes[0].instance;
+        assert!(instance.start_again(1_000).await);
+        assert!(instance.leave().await);
+        assert!(instance.beat_of_start("i-0", 1_000, 50, false).await);
+        assert_eq!(fleet.status(0, "/notices/1", "gone").await, Some(503));
+        assert!(instance.start_again(2_000).await);
+        assert_eq!(fleet.status(0, "/notices/1", "back").await, Some(200), "{}", fleet.log(0));
+    });
+}
+
 #[test]
 fn a_frozen_host_gets_nothing_until_it_wakes() {
     // One of three daemons is frozen. Lookups of the others are answered within
