--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -154,30 +154,21 @@
         .serve_connection(FuturesIo::new(Io(ahead.clone())), service);
     let mut serving = std::pin::pin!(serving);
     let begin = move |req| exec::spawn(begins(peer, req));
-    let left = poll_fn(|cx| ahead.poll(cx, activity.is_busy(), &begin));
-    let mut left = std::pin::pin!(left);
-    let ending = async {
-        smol::future::or(stop.wait(), activity.idle_for(&limits.idle)).await;
-        finish_begun(&ahead).await;
-    };
-    let served = async {
-        let _closed = serving.as_mut().await;
-        Over::Closed
-    };
-    let gone = async {
-        left.as_mut().await;
+    let caller_left = poll_fn(|cx| ahead.poll(cx, activity.is_busy(), &begin));
+    let mut caller_left = std::pin::pin!(caller_left);
+    let closed = async {
+        smol::future::or(async { drop(serving.as_mut().await) }, caller_left.as_mut()).await;
         Over::Closed
     };
     let ending = async {
-        ending.await;
+        smol::future::or(stop.wait(), activity.idle_for(&limits.idle)).await;
+        finish_begun(&ahead).await;
         Over::Ending
     };
-    let over = smol::future::or(smol::future::or(served, gone), ending).await;
-    if let Over::Ending = over {
+    if let Over::Ending = smol::future::or(closed, ending).await {
         serving.as_mut().graceful_shutdown();
-        let unused = activity.unused_after(UNUSED_WAIT);
-        let served = async { drop(serving.await) };
-        smol::future::or(smol::future::or(served, left), unused).await;
+        let closed = smol::future::or(async { drop(serving.await) }, caller_left);
+        smol::future::or(closed, activity.unused_after(UNUSED_WAIT)).await;
     }
 }
 
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -88,12 +88,10 @@
     let asked = headers::number(&head.headers, d.dialect.deadline_ms.as_str());
     let asked = asked.map(Duration::from_millis);
     let until = asked.map(|asked| started + asked);
-    let load = d.settings.load;
-    let came_back = until.filter(|_| load.returning);
-    let came_back = came_back.and_then(|until| d.callers.first_came(KindKey(kind), until));
-    let first_came = came_back.unwrap_or(started);
-    let asked = asked.map(|asked| asked.saturating_sub(CALLER_MARGIN));
-    let time = asked.map_or(route.deadline(), |asked| asked.min(route.deadline()));
+    let first_came = first_came(d, kind, until).unwrap_or(started);
+    let time = asked.map_or(route.deadline(), |asked| {
+        asked.saturating_sub(CALLER_MARGIN).min(route.deadline())
+    });
     let left = headers::number(&head.headers, call::ATTEMPTS);
     let most = route.max_attempts.unwrap_or(MAX_ATTEMPTS);
     let allowed = left.map_or(most, |left| left.min(u64::from(most)) as u32);
@@ -137,6 +135,12 @@
     res
 }
 
+/// Returns when the caller that waits until a moment first came, if it was sent away.
+fn first_came(d: &Daemon, kind: u64, until: Option<Instant>) -> Option<Instant> {
+    let until = until.filter(|_| d.settings.load.returning)?;
+    d.callers.first_came(KindKey(kind), until)
+}
+
 /// Returns whether a request may be begun before the answers to those before it on
 /// its connection have left.
 ///
