Show requests in flight through a daemon, and give comments their figures

A test with a real daemon: two lookups of one connection run beside each other and the request that may not run twice does not; without `overlap` the second lookup runs only after the first was abandoned.

--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -12,8 +12,8 @@
 //! More urgent calls go first, but one part in [`URGENT_WORK`] + 1 of the work is for
 //! the least urgent rank that waits. Failure: urgent calls alone fill the upstream.
 //! Symptom: the others wait until their deadlines and none is served. It goes by work
-//! and not by turns: with one long call for every four short ones the short, urgent
-//! ones got 40 in 100 of a slow upstream instead of 80.
+//! and not by turns: with one call of 240 ms for every four of 40 ms the less urgent
+//! ones would get 60 in 100 of the upstream.
 //!
 //! Within a rank the call whose objective ends first goes first, so that short calls
 //! which others wait for go before long ones, and a caller that was refused and came
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -20,8 +20,8 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Failures to connect in a row after which an upstream is taken for gone.
 const UNREACHED_MOST: u32 = 3;
-/// Time in which reports of an earlier start of an instance may still arrive. The store's
-/// pages speak of seconds; one that claims an older start after that is believed, since
+/// Time in which reports of an earlier start of an instance may still arrive: a cut that
+/// heals delivers what it held up some seconds late. One that claims an older start after that is believed, since
 /// its host's clock may have been set back between two starts.
 const LATE_REPORT: Duration = Duration::from_secs(5);
 /// Instances that ended, remembered so that a late report does not bring one
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -10,6 +10,7 @@
 use cicadashift_testkit::hosted::store::{CONFIG_KEY, Down};
 use common::run;
 use serde_json::json;
+use smol::io::AsyncWriteExt;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -408,6 +409,35 @@
     });
 }
 
+#[test]
+fn requests_of_one_connection_run_beside_each_other_if_they_may_run_twice() {
+    // A caller sends two lookups and a notice to be lifted on one connection, and
+    // nothing is answered. The second lookup reaches an instance while the first is at
+    // work there; the lift does not, since the answers before it might still close the
+    // connection, and its caller would then send it again.
+    run(async {
+        let fleet = serving(1).await;
+        fleet.put_config(2, &["/notices/", "/lift/"]);
+        let served = async |fleet: &HostedFleet| fleet.status(0, "/lift/0", "k").await;
+        assert!(fleet.wait(async |fleet| served(fleet).await == Some(200)).await);
+        fleet.nodes[0].instance.set_work(Duration::from_secs(60));
+        let head = |line: &str, id: &str| {
+            format!("{line} HTTP/1.1\r\nhost: notices.example\r\nx-request-id: {id}\r\n\r\n")
+        };
+        let sent = head("GET /notices/1", "first")
+            + &head("GET /notices/2", "second")
+            + &head("POST /lift/1", "third");
+        let callers = fleet.nodes[0].callers;
+        let mut caller = smol::Async::<std::net::TcpStream>::connect(callers).await.expect("up");
+        caller.write_all(sent.as_bytes()).await.expect("the daemon takes it");
+        let ran = |fleet: &HostedFleet, id: &str| fleet.ledger.count(id) == 1;
+        let both = async |fleet: &HostedFleet| ran(fleet, "first") && ran(fleet, "second");
+        assert!(fleet.wait(both).await, "{}", fleet.log(0));
+        assert_eq!(fleet.nodes[0].instance.abandoned(), Vec::<String>::new());
+        assert_eq!(fleet.ledger.count("third"), 0);
+    });
+}
+
 #[test]
 fn an_instance_stops_working_for_a_caller_that_left() {
     // A caller at one host asks for something that takes two seconds on another host,
