Add a model of the request path on a virtual clock

Ruled out: running the daemons themselves on a virtual clock (sockets and the executor would have to be replaced).

--- /dev/null
+++ b/crates/measure/src/load/entry.rs
@@ -0,0 +1,287 @@
+//! The entry daemon: as `src/daemon/request/attempts.rs`, without sockets.
+
+use super::caller::End;
+use super::exit::{Stage, Try};
+use super::world::{CallerId, Event, HostId, KindId, RequestId, TryId, World};
+use cicadashift_core::request::MIN_RETRY_AFTER;
+use cicadashift_core::request::choose::{Demand, Outcome, UpstreamKey};
+use cicadashift_core::request::gate::KindKey;
+use cicadashift_core::request::retry::{Attempt, Call, MAX_ATTEMPTS, Verdict};
+use std::time::Duration;
+
+/// What a request is given up before its caller does, as `src/daemon/request/entry.rs`
+/// has it.
+const CALLER_MARGIN: Duration = Duration::from_millis(25);
+
+/// What an entry daemon hears of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Got {
+    /// A whole answer: whether it is good, the time at the upstream and its load.
+    Answer { good: bool, service: Duration, load: u16 },
+    /// The exit daemon or the upstream did not take it.
+    Refused { retry_after: Duration, arrived: bool, load: u16 },
+    /// The host could not be reached.
+    Unreached,
+    /// No whole answer.
+    Broken,
+}
+
+/// Who made a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Parent {
+    Caller(CallerId),
+    /// An upstream, while it runs this attempt.
+    Run(TryId),
+}
+
+/// One request at its entry daemon.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub kind: KindId,
+    pub entry: HostId,
+    pub parent: Parent,
+    pub first_came: Duration,
+    pub deadline: Duration,
+    until: Duration,
+    tried: Vec<UpstreamKey>,
+    open: Vec<TryId>,
+    arrivals: u32,
+    soonest: Option<Duration>,
+    may_have_run: bool,
+    ended: bool,
+}
+
+impl World {
+    /// Takes a request in and sends it to a first upstream.
+    pub fn enter(
+        &mut self,
+        kind: KindId,
+        entry: HostId,
+        parent: Parent,
+        until: Duration,
+    ) -> RequestId {
+        let now = self.now();
+        let (key, at) = (KindKey(kind.0 as u64), self.instant(until));
+        let returning = &mut self.hosts[entry.0].returning;
+        let known = returning.first_came(key, at).filter(|_| self.switches.returning);
+        let first_came =
+            known.map_or(now, |first| first.duration_since(self.instant(Duration::ZERO)));
+        let request = Request {
+            kind,
+            entry,
+            parent,
+            first_came,
+            deadline: until.saturating_sub(CALLER_MARGIN),
+            until,
+            tried: Vec::new(),
+            open: Vec::new(),
+            arrivals: 0,
+            soonest: None,
+            may_have_run: false,
+            ended: false,
+        };
+        let left = request.deadline.saturating_sub(now);
+        self.requests.push(request);
+        let id = RequestId(self.requests.len() - 1);
+        self.after(left, Event::Deadline(id));
+        let service = self.service_of_kind(kind);
+        let allowance = self.allowance();
+        self.hosts[entry.0].budgets[service].earn(allowance);
+        self.pursue(id);
+        id
+    }
+
+    pub(super) fn service_of_kind(&self, kind: KindId) -> usize {
+        self.service_of(&self.kinds[kind.0].1.service)
+    }
+
+    /// Returns whether nobody was told yet what became of a request.
+    pub fn is_open(&self, request: RequestId) -> bool {
+        !self.requests[request.0].ended
+    }
+
+    /// Returns what a request asks of a choice.
+    pub fn demand(&self, request: RequestId) -> Demand {
+        let Request { kind, first_came, .. } = self.requests[request.0];
+        let spec = &self.kinds[kind.0].1;
+        let objective = first_came + Duration::from_secs_f64(spec.objective_ms / 1e3);
+        Demand {
+            kind: KindKey(kind.0 as u64),
+            priority: spec.priority(),
+            objective: objective.saturating_sub(self.now()),
+        }
+    }
+
+    /// Sends a request to the next upstream.
+    fn pursue(&mut self, id: RequestId) {
+        let now = self.now();
+        if now >= self.requests[id.0].deadline {
+            return self.give_up(id, MIN_RETRY_AFTER);
+        }
+        let (demand, random, at) = (self.demand(id), self.rng.u64(..), self.instant(now));
+        let request = &self.requests[id.0];
+        let service = self.service_of_kind(request.kind);
+        let picker = &self.hosts[request.entry.0].pickers[service];
+        match picker.choose(demand, at, random, &request.tried) {
+            Ok(choice) => self.send(id, choice.key, demand),
+            Err(wait) => self.give_up(id, wait),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, key: UpstreamKey, demand: Demand) {
+        let now = self.now();
+        let (entry, kind) = (self.requests[id.0].entry, self.requests[id.0].kind);
+        let service = self.service_of_kind(kind);
+        let picker = &mut self.hosts[entry.0].pickers[service];
+        picker.started(key);
+        let known = picker.known(key);
+        let (host, name) = (HostId(known.host.0 as usize), known.instance.clone());
+        let late_after = picker.late_after(demand);
+        let life = name.split('@').next_back().and_then(|life| life.parse().ok()).unwrap_or(0);
+        let way = self.way(entry, host);
+        let back = self.way(host, entry);
+        let stage = Stage::OnWay;
+        self.tries.push(Try { request: id, host, life, key, demand, sent: now, back, stage });
+        let attempt = TryId(self.tries.len() - 1);
+        let request = &mut self.requests[id.0];
+        request.tried.push(key);
+        request.open.push(attempt);
+        self.after(way, Event::AtExit(attempt));
+        if let Some(wait) = late_after.filter(|_| self.switches.second) {
+            self.after(wait, Event::Late(attempt));
+        }
+    }
+
+    /// Sends a second attempt beside one that is late, where it may pay.
+    pub(super) fn late(&mut self, attempt: TryId) {
+        let Try { request: id, key, sent, .. } = self.tries[attempt.0];
+        let is_first = self.requests[id.0].open == [attempt];
+        let spec = &self.kinds[self.requests[id.0].kind.0].1;
+        let may_double = spec.repeatable && self.requests[id.0].arrivals + 1 < MAX_ATTEMPTS;
+        if !self.is_open(id) || !is_first || !may_double {
+            return;
+        }
+        let now = self.now();
+        let (demand, at) = (self.demand(id), self.instant(now));
+        let (entry, service) =
+            (self.requests[id.0].entry, self.service_of_kind(self.requests[id.0].kind));
+        let passed = now.saturating_sub(sent);
+        let random = self.rng.u64(..);
+        let tried = self.requests[id.0].tried.clone();
+        let host = &mut self.hosts[entry.0];
+        host.pickers[service].late(key, demand, passed, at);
+        let Ok(choice) = host.pickers[service].choose(demand, at, random, &tried) else { return };
+        let pays = host.pickers[service].has_room(choice.key, at) && host.budgets[service].spend();
+        if pays {
+            self.requests[id.0].arrivals += 1;
+            self.send(id, choice.key, demand);
+        }
+    }
+
+    /// Takes in what became of an attempt.
+    pub(super) fn back(&mut self, attempt: TryId, got: Got) {
+        let Try { request: id, key, demand, sent, .. } = self.tries[attempt.0];
+        if !self.requests[id.0].open.contains(&attempt) {
+            return;
+        }
+        self.requests[id.0].open.retain(|other| *other != attempt);
+        let now = self.now();
+        let total = now.saturating_sub(sent);
+        let outcome = match got {
+            Got::Answer { good: true, service, load } => {
+                Outcome::Answered { service, total, load: Some(load) }
+            }
+            Got::Answer { good: false, .. } => Outcome::Erred,
+            Got::Refused { retry_after, load, .. } => {
+                Outcome::Refused { retry_after, load: Some(load) }
+            }
+            Got::Unreached => Outcome::Unreached,
+            Got::Broken => Outcome::Failed,
+        };
+        self.record(id, key, demand, outcome);
+        let attempt = match got {
+            Got::Answer { good: true, .. } => return self.end(id, End::Served),
+            Got::Answer { good: false, .. } | Got::Broken => Attempt::Unknown,
+            Got::Refused { retry_after, arrived, .. } => Attempt::NotRun { retry_after, arrived },
+            Got::Unreached => Attempt::unreached(),
+        };
+        self.missed(id, attempt);
+    }
+
+    fn record(&mut self, id: RequestId, key: UpstreamKey, demand: Demand, outcome: Outcome) {
+        let (entry, kind) = (self.requests[id.0].entry, self.requests[id.0].kind);
+        let (service, at) = (self.service_of_kind(kind), self.instant(self.now()));
+        self.hosts[entry.0].pickers[service].ended(key, demand, outcome, at);
+    }
+
+    fn missed(&mut self, id: RequestId, attempt: Attempt) {
+        let request = &mut self.requests[id.0];
+        if let Attempt::NotRun { retry_after, .. } = attempt {
+            let soonest = request.soonest.map_or(retry_after, |wait| wait.min(retry_after));
+            request.soonest = Some(soonest);
+        }
+        let may_have_run = request.may_have_run;
+        request.arrivals += u32::from(attempt.has_arrived());
+        request.may_have_run |= attempt == Attempt::Unknown;
+        if !request.open.is_empty() {
+            return;
+        }
+        let request = self.requests[id.0].clone();
+        let call = Call {
+            repeatable: self.kinds[request.kind.0].1.repeatable,
+            replayable: true,
+            attempts: request.tried.len() as u32,
+            arrivals: request.arrivals,
+            allowed: MAX_ATTEMPTS,
+            may_have_run,
+        };
+        let left = request.deadline.saturating_sub(self.now());
+        let (service, random) = (self.service_of_kind(request.kind), self.rng.u64(..));
+        let budget = &mut self.hosts[request.entry.0].budgets[service];
+        match call.after(attempt, left, budget, random) {
+            Verdict::Again => self.pursue(id),
+            Verdict::Refuse { retry_after } => {
+                let wait = request.soonest.unwrap_or(retry_after).max(MIN_RETRY_AFTER);
+                self.end(id, End::Refused(retry_after.min(wait)));
+            }
+            Verdict::Answer | Verdict::Unknown => self.end(id, End::Failed),
+        }
+    }
+
+    fn give_up(&mut self, id: RequestId, wait: Duration) {
+        let request = &self.requests[id.0];
+        let wait = request.soonest.unwrap_or(wait);
+        match request.may_have_run {
+            true => self.end(id, End::Failed),
+            false => self.end(id, End::Refused(wait)),
+        }
+    }
+
+    pub(super) fn deadline(&mut self, id: RequestId) {
+        if self.is_open(id) {
+            self.end(id, End::Failed);
+        }
+    }
+
+    /// Ends a request and gives up what is still under way for it.
+    pub fn end(&mut self, id: RequestId, end: End) {
+        self.requests[id.0].ended = true;
+        for attempt in std::mem::take(&mut self.requests[id.0].open) {
+            let Try { host, key, demand, .. } = self.tries[attempt.0];
+            self.record(id, key, demand, Outcome::Cancelled);
+            let way = self.way(self.requests[id.0].entry, host);
+            self.after(way, Event::GivenUp(attempt));
+        }
+        let Request { kind, entry, parent, first_came, until, .. } = self.requests[id.0];
+        if matches!(end, End::Refused(_) | End::Failed) {
+            let (since, until) = (self.instant(first_came), self.instant(until));
+            let now = self.instant(self.now());
+            let returning = &mut self.hosts[entry.0].returning;
+            returning.sent_away(KindKey(kind.0 as u64), since, until, now);
+        }
+        match parent {
+            Parent::Caller(caller) => self.caller_ends(caller, end),
+            Parent::Run(run) => self.nested_ends(run, end == End::Served),
+        }
+    }
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -10,6 +10,7 @@
 mod baseline;
 mod converge;
 mod footprint;
+mod load;
 mod path;
 mod policy;
 mod process;
@@ -22,12 +23,20 @@
 
 /// Threads of this program; it plays the platform, upstreams and callers.
 const THREADS: usize = 4;
+/// Seeds of the model that are played if none are asked for.
+const SEEDS: u64 = 20;
 
 xflags::xflags! {
-    /// Measures cicadashift: path, converge, footprint, policy or storm.
+    /// Measures cicadashift: path, converge, footprint, policy, storm, or load FILE.
     cmd cicadashift-measure {
         /// Which experiment.
         required experiment: String
+        /// load: the deployment.
+        optional file: PathBuf
+        /// load: seeds to play.
+        optional --seeds n: u64
+        /// load: where to draw the share earned by second.
+        optional --svg path: PathBuf
         /// Daemons to start.
         optional --daemons n: usize
         /// Seed of what is random here.
@@ -42,7 +51,7 @@
         optional --quiet
         /// policy: offered load as a share of capacity, in percent.
         optional --load percent: u64
-        /// policy: a decision of the choice to switch off; no baselines are run then.
+        /// policy, load: a decision to switch off; policy runs no baselines then.
         optional --without decision: String
         /// converge: changes to accept.
         optional --changes n: usize
@@ -79,8 +88,31 @@
     pub broken: Vec<&'static str>,
 }
 
+/// Plays the model, which needs no processes.
+fn model(flags: CicadashiftMeasure) {
+    let Some(file) = flags.file else {
+        eprintln!("load needs a deployment; see testdata/load");
+        std::process::exit(2);
+    };
+    let seeds = flags.seeds.unwrap_or(SEEDS);
+    match load::run(&load::Asked { file, seeds, without: flags.without, svg: flags.svg }) {
+        Ok(mut summary) => {
+            summary["experiment"] = "load".into();
+            summary["summary"] = true.into();
+            println!("{summary}");
+        }
+        Err(err) => {
+            eprintln!("{err}");
+            std::process::exit(2);
+        }
+    }
+}
+
 fn main() {
     let flags = CicadashiftMeasure::from_env_or_exit();
+    if flags.experiment == "load" {
+        return model(flags);
+    }
     fastrand::seed(flags.seed.unwrap_or(1));
     let program =
         std::env::current_exe().ok().and_then(|exe| Some(exe.parent()?.join("cicadashift")));
