Ask the instance after a start, and tell a stop only when callers have moved

Cause: (1) the question that finds the instance beside a daemon that starts again was written but never asked: nothing started it. The instance got no work until its next report, up to 1.5 s. (2) A planned stop was told at once and then waited 2.5 s for callers to move; for all that time the instance, which lives on, was out of use. Ruled out: taking over the upstream from the records of peers, which know it no better and not at all after a kill of all. Change: the question is asked; a stop is told 0.6 s before its time to leave ends. Tests, both seen to fail without the change: hosted::a_daemon_that_starts_again_finds_ its_instance_before_the_next_report, a_stopping_daemon_serves_what_others_send_until_ it_tells_them.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -70,6 +70,9 @@
 const SMALL_CONNECTIONS: usize = 32;
 /// Time for taking this daemon's entry out of the store at a planned stop.
 const ENTRY_TIME: Duration = Duration::from_millis(500);
+/// Time for the other daemons to hear that this one stops: some rounds of gossip, in
+/// its own failure domain and over the bridges to others.
+const TELL_TIME: Duration = Duration::from_millis(600);
 /// Step in which a stopping daemon looks whether calls are left.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
@@ -285,6 +288,7 @@
             exec::spawn(source::run(d.clone())),
             exec::spawn(source::heartbeats(d.clone())),
             exec::spawn(discovery::run(d.clone())),
+            exec::spawn(greet::run(d.clone())),
         ]),
     }
     background
@@ -359,10 +363,18 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Tells the others that this daemon stops, and gives them time to hear it.
+    /// Lets callers move away, then tells the others that this daemon stops, and gives
+    /// them time to hear it.
+    ///
+    /// Failure: a stop is told at once, while callers still have seconds to move. Symptom:
+    /// the upstream beside the daemon, which lives on, is out of use for all that time;
+    /// where daemons are stopped one a second, a quarter of the upstreams was. What other
+    /// daemons send goes on to be served until they are told.
     async fn leave(self: &Arc<Self>) {
         self.leaving.store(true, Ordering::Relaxed);
-        let until = self.clock.now() + self.tunable.get().leave;
+        let time = self.tunable.get().leave;
+        let until = self.clock.now() + time;
+        smol::Timer::after(time.saturating_sub(TELL_TIME)).await;
         self.members.announce_leaving(self);
         gossip::flush(self).await;
         match self.settings.interface {
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -602,6 +602,48 @@
     });
 }
 
+#[test]
+fn a_daemon_that_starts_again_finds_its_instance_before_the_next_report() {
+    // A daemon is started again beside an instance that lives on and has just
+    // reported. Until its next report nobody could send to it, although it has all
+    // slots free: its service is short of one upstream for as long. So the daemon
+    // asks it who it is.
+    run(async {
+        let mut fleet = serving(2).await;
+        fleet.nodes[1].instance.set_beats(false);
+        fleet.kill(1);
+        fleet.restart(1);
+        let known = fleet.wait(async |fleet: &HostedFleet| fleet.knows(1, 2).await).await;
+        assert!(known, "{}", last_lines(&fleet.log(1)));
+        assert_eq!(fleet.status(1, "/notices/1", "after").await, Some(200));
+    });
+}
+
+#[test]
+fn a_stopping_daemon_serves_what_others_send_until_it_tells_them() {
+    // A daemon is stopped as planned. Its callers have two seconds to move; meanwhile
+    // the instance beside it can go on serving what others send. If the stop is told
+    // at once it gets nothing more from the first moment on, and its slots stand
+    // empty.
+    run(async {
+        let fleet = serving(2).await;
+        fleet.change_settings(1, "limits", json!({"leave_ms": 2400, "finish_ms": 3000}));
+        fleet.signal(1, "-HUP");
+        let taken = async |fleet: &HostedFleet| fleet.log(1).contains("): done");
+        assert!(fleet.wait(taken).await, "{}", last_lines(&fleet.log(1)));
+        fleet.signal(1, "-TERM");
+        let gone = fleet.wait(async |fleet: &HostedFleet| !fleet.is_ready(1).await).await;
+        assert!(gone, "it still says that it takes work");
+        busy(&fleet);
+        let ids: Vec<String> = (0..16).map(|i| format!("r{i}")).collect();
+        let answers = fleet.answers(0, "/notices/1", &ids).await;
+        let answers: Vec<_> = answers.into_iter().flatten().collect();
+        assert!(answers.iter().all(|res| res.status().as_u16() == 200), "{answers:?}");
+        let by_stopping = answers.iter().filter(|res| res.body().starts_with("i-1 ")).count();
+        assert!(by_stopping > 0, "the instance beside the stopping daemon got nothing");
+    });
+}
+
 #[test]
 fn a_stopping_daemon_waits_for_an_answer_although_its_host_is_silent() {
     // A lookup runs at the only instance, behind another daemon, when the daemon
