Ask for a free slot before a call waits, and count what upstreams refuse

A call waited at the first host chosen although the next one had a slot free, since what a daemon knows of 47 upstreams is seconds old. An upstream that refuses at random was known to its own host only. One that had just started got a quarter of its slots. Change: a call asks up to two hosts that are said to have room for a free slot before it waits; hosts tell the share of calls that their upstream takes, which weighs in choice; starting upstreams get all their slots; daemons of large failure domains choose among twelve upstreams.

--- a/crates/core/src/request/choose/mod.rs
+++ b/crates/core/src/request/choose/mod.rs
@@ -35,6 +35,11 @@
 
 /// One way to another failure domain and back.
 pub const DISTANCE: Duration = Duration::from_millis(3);
+/// Upstreams of the own failure domain that a daemon usually chooses from, the same ones
+/// each time and others than its neighbours. From all of them it would see each so
+/// seldom that it knew nothing of any: at 14 calls a second and 47 upstreams, once in
+/// three seconds.
+const SUBSET: usize = 12;
 /// Candidates compared for one attempt.
 const CANDIDATES: usize = 4;
 /// The way to another host of the own failure domain and back, with the work of two
@@ -66,6 +71,9 @@
 /// of a service fail, such as calls whose own calls fail, is no reason to leave
 /// any of them.
 const ERROR_COST: f64 = 8.0;
+/// By how much the share of calls that an upstream refuses raises its cost. A refused
+/// call costs a way there and back and a part of the retries allowed, but no work.
+const REFUSAL_COST: f64 = 4.0;
 /// Deviations above the mean before which no call is late for its kind; one in a
 /// hundred takes longer.
 const EARLY_DEVIATIONS: f64 = 3.0;
@@ -132,16 +140,27 @@
     pub reason: Reason,
 }
 
+/// What the daemon beside an upstream tells of it, in each answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Told {
+    /// Calls at the upstream and waiting for it.
+    pub load: Option<u16>,
+    /// Share of the calls sent to it that it takes.
+    pub accepts: Option<f64>,
+}
+
 /// How an attempt at an upstream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
     /// A whole answer: the time that the upstream took for it, the time that it
-    /// took from here, and the calls then at the upstream.
-    Answered { service: Duration, total: Duration, load: Option<u16> },
+    /// took from here, and what was told beside it.
+    Answered { service: Duration, total: Duration, told: Told },
     /// A whole answer that says that the upstream failed.
     Erred,
-    /// Refused as not run, with the calls then at the upstream.
-    Refused { retry_after: Duration, load: Option<u16> },
+    /// Refused as not run.
+    Refused { retry_after: Duration, told: Told },
+    /// Not taken since it would have had to wait; there may be room elsewhere.
+    Full { told: Told },
     /// Refused as not run, since its large answer could not leave the host in
     /// time; the upstream itself may have room.
     LinkBusy,
@@ -184,6 +203,10 @@
     pub unproven: bool,
     /// Stay away from an upstream for the time it asked for.
     pub back_off: bool,
+    /// Choose among a part of a large failure domain.
+    pub subset: bool,
+    /// Count the share of calls that an upstream refuses, as its host tells.
+    pub refusals: bool,
 }
 
 impl Policy {
@@ -196,6 +219,8 @@
         eject: true,
         unproven: true,
         back_off: true,
+        subset: true,
+        refusals: true,
     };
 }
 
@@ -209,6 +234,7 @@
 #[derive(Clone, Debug)]
 pub struct Picker {
     policy: Policy,
+    me: HostKey,
     kinds: HashMap<KindKey, Spread>,
     /// Share of answers of the service that were errors, lately.
     errors: f64,
@@ -218,9 +244,10 @@
 
 impl Picker {
     /// Makes a picker without upstreams.
-    pub fn new(policy: Policy) -> Picker {
+    pub fn new(policy: Policy, me: HostKey) -> Picker {
         Picker {
             policy,
+            me,
             kinds: HashMap::new(),
             errors: 0.0,
             arena: Vec::new(),
@@ -256,7 +283,8 @@
         let free = self.arena.iter().position(|old| !old.present && old.outstanding == 0);
         let slot = free.unwrap_or(self.arena.len());
         let key = UpstreamKey(slot as u32);
-        let new = Upstream::new(item, now);
+        let rank = crate::delivery::tree::mix(self.me.0 ^ crate::delivery::tree::mix(item.host.0));
+        let new = Upstream::new(item, rank, now);
         match self.arena.get_mut(slot) {
             Some(old) => *old = new,
             None => self.arena.push(new),
@@ -304,6 +332,7 @@
         let open: Vec<UpstreamKey> = untried.iter().copied().filter(is_open).collect();
         let (near, far): (Vec<_>, Vec<_>) =
             open.iter().partition(|key| !self.policy.prefer_near || !self.is_far(**key));
+        let near = self.usual_of(near);
         let best_near = self.best_of_few(&near, demand, now, random);
         let best_near = self.or_here(best_near, &near, demand, now);
         let best_far = self.best_of_few(&far, demand, now, random.rotate_left(32));
@@ -396,13 +425,18 @@
         let upstream = self.at_mut(key);
         upstream.outstanding = upstream.outstanding.saturating_sub(1);
         match outcome {
-            Outcome::Answered { load, .. } => {
-                upstream.answered(relative.unwrap_or(1.0), load, now);
+            Outcome::Answered { told, .. } => {
+                upstream.answered(relative.unwrap_or(1.0), told.load, now);
+                upstream.told(told, now);
+            }
+            Outcome::Full { told } => {
+                upstream.failures = 0;
+                upstream.told(told, now);
             }
             Outcome::Erred => upstream.erred(now),
-            Outcome::Refused { retry_after, load } => {
+            Outcome::Refused { retry_after, told } => {
                 upstream.failures = 0;
-                upstream.hint = load.map(|load| (load, now)).or(upstream.hint);
+                upstream.told(told, now);
                 if policy.back_off {
                     upstream.back_off = Some(BackOff {
                         priority: demand.priority,
@@ -448,6 +482,7 @@
             Outcome::Answered { .. } => 0.0,
             Outcome::Erred | Outcome::Failed => 1.0,
             Outcome::Refused { .. }
+            | Outcome::Full { .. }
             | Outcome::LinkBusy
             | Outcome::Unreached
             | Outcome::Cancelled => return,
@@ -526,6 +561,16 @@
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
     }
 
+    /// Returns those of the open upstreams of the own failure domain that this daemon
+    /// usually chooses from.
+    fn usual_of(&self, mut near: Vec<UpstreamKey>) -> Vec<UpstreamKey> {
+        if self.policy.subset && near.len() > SUBSET {
+            near.select_nth_unstable_by_key(SUBSET, |key| self.at(*key).rank);
+            near.truncate(SUBSET);
+        }
+        near
+    }
+
     fn is_far(&self, key: UpstreamKey) -> bool {
         self.at(key).known.place == Place::Far
     }
@@ -553,7 +598,9 @@
             }
             Place::Near | Place::Far => HOP_MS,
         };
-        (time * (1.0 + wait + 0.2 * load / slots) + way) * (1.0 + ERROR_COST * errors)
+        let refuses = if self.policy.refusals { 1.0 - upstream.accepts(now) } else { 0.0 };
+        let once = time * (1.0 + wait + 0.2 * load / slots) + way;
+        once * (1.0 + ERROR_COST * errors + REFUSAL_COST * refuses)
     }
 
     /// Tries an upstream that is set aside, rather than none.
--- a/crates/core/src/request/choose/upstream.rs
+++ b/crates/core/src/request/choose/upstream.rs
@@ -1,6 +1,6 @@
 //! One upstream as an entry daemon sees it.
 
-use super::{Known, Policy};
+use super::{Known, Policy, Told};
 use crate::config::Priority;
 use crate::membership::record::Readiness;
 use std::time::{Duration, Instant};
@@ -17,8 +17,6 @@
 /// Time in which an unused speed falls half-way back to the service's, so that an
 /// upstream that was slow is tried again.
 const FORGET: Duration = Duration::from_secs(4);
-/// Share of the slots a cold upstream is given at first.
-const COLD_SHARE: f64 = 0.25;
 /// Weight of a new answer in an upstream's share of errors.
 const ERROR_SMOOTHING: f64 = 0.1;
 /// Time in which an unused upstream's share of errors is halved. A fault that
@@ -49,7 +47,10 @@
     pub ejections: u32,
     pub aside_until: Option<Instant>,
     pub back_off: Option<BackOff>,
-    pub answers: u32,
+    /// Share of the calls sent to it that it takes, as its host tells, and when.
+    pub accepts: Option<(f64, Instant)>,
+    /// Its place among those that this daemon prefers.
+    pub rank: u64,
 }
 
 /// What an upstream said when it refused a call.
@@ -64,7 +65,7 @@
 }
 
 impl Upstream {
-    pub fn new(known: Known, now: Instant) -> Upstream {
+    pub fn new(known: Known, rank: u64, now: Instant) -> Upstream {
         Upstream {
             known,
             present: true,
@@ -80,7 +81,8 @@
             ejections: 0,
             aside_until: None,
             back_off: None,
-            answers: 0,
+            accepts: None,
+            rank,
         }
     }
 
@@ -102,10 +104,7 @@
         if policy.unproven && !self.is_proven(now) {
             return slots.min(UNPROVEN_SLOTS);
         }
-        match self.known.readiness {
-            Readiness::Cold => (slots * COLD_SHARE + f64::from(self.answers)).clamp(1.0, slots),
-            Readiness::Ready | Readiness::Draining => slots,
-        }
+        slots
     }
 
     pub fn is_proven(&self, now: Instant) -> bool {
@@ -141,7 +140,19 @@
         self.failures = 0;
         self.ejections = 0;
         self.aside_until = None;
-        self.answers = self.answers.saturating_add(1);
+    }
+
+    /// Takes in what its host tells of it.
+    pub fn told(&mut self, told: Told, now: Instant) {
+        self.hint = told.load.map(|load| (load, now)).or(self.hint);
+        self.accepts = told.accepts.map(|share| (share, now)).or(self.accepts);
+    }
+
+    /// Returns the share of the calls sent to it that it takes.
+    pub fn accepts(&self, now: Instant) -> f64 {
+        let Some((share, at)) = self.accepts else { return 1.0 };
+        let idle = now.saturating_duration_since(at).as_secs_f64();
+        1.0 - (1.0 - share) * 0.5_f64.powf(idle / FORGIVE.as_secs_f64())
     }
 
     pub fn observe_speed(&mut self, relative: f64, now: Instant) {
--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -44,8 +44,6 @@
 const SMOOTHING: f64 = 0.1;
 /// Service time assumed before the first observation.
 const FIRST_GUESS: Duration = Duration::from_millis(25);
-/// Share of the slots a cold upstream gets at first.
-const COLD_SHARE: u32 = 4;
 /// What is left of the limit after the upstream shed a call.
 const SHED_FACTOR: f64 = 0.8;
 /// Time during which one shed answer lowers the limit only once.
@@ -68,6 +66,11 @@
 /// What is left, at each turn, of the weight of earlier turns in the shares of
 /// ranks: some thirty turns are remembered.
 const SHARE_DECAY: f64 = 0.97;
+/// Weight of a call in the share that the upstream takes of those sent to it.
+const ACCEPT_SMOOTHING: f64 = 0.05;
+/// Time in which half of what lowered that share is forgotten: an upstream that gets no
+/// more calls is to be tried again.
+const FORGIVE: Duration = Duration::from_millis(2500);
 /// Kinds of calls whose times are kept apart; further ones share a mean.
 const KINDS_KEPT: usize = 64;
 /// Most calls queued, whatever their deadlines, so that memory is bounded.
@@ -94,6 +97,9 @@
     pub caller: CallerKey,
     /// What kind of call it is; calls of one kind take about the same time.
     pub kind: KindKey,
+    /// How long it may be expected to wait here; a caller that can ask elsewhere gives
+    /// none.
+    pub most_wait: Duration,
 }
 
 /// Names a kind of call.
@@ -105,6 +111,8 @@
 pub enum Refusal {
     /// The calls before it leave too little of its deadline.
     Busy { retry_after: Duration },
+    /// It would wait longer than it was said to; there is time for it still.
+    Full { retry_after: Duration },
     /// Its deadline has passed.
     TooLate,
     /// The upstream is leaving; other instances may serve.
@@ -122,6 +130,7 @@
     pub fn retry_after(&self) -> Duration {
         match self {
             Refusal::Busy { retry_after }
+            | Refusal::Full { retry_after }
             | Refusal::QueueFull { retry_after }
             | Refusal::LinkBusy { retry_after } => *retry_after,
             Refusal::TooLate | Refusal::Draining | Refusal::Gone => MIN_RETRY_AFTER,
@@ -133,6 +142,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Refusal::Busy { .. } => "busy",
+            Refusal::Full { .. } => "full",
             Refusal::TooLate => "too-late",
             Refusal::Draining => "draining",
             Refusal::Gone => "gone",
@@ -192,6 +202,8 @@
     /// Work begun of more urgent calls while less urgent ones waited.
     urgent_work: Duration,
     last_shed: Option<Instant>,
+    /// Share of the calls that the upstream refused, lately, and when it was taken.
+    refused: (f64, Option<Instant>),
     draining: bool,
     next: u64,
 }
@@ -232,17 +244,15 @@
 impl Gate {
     /// Makes the gate of an upstream that runs `slots` calls at once.
     ///
-    /// A cold upstream starts with a quarter of them and gains one with each
-    /// answer.
-    pub fn new(slots: u32, cold: bool) -> Gate {
+    /// One that has just started gets all of them too: it is slower for a while, but
+    /// holding calls back does not make it quicker. With a quarter of the slots at first
+    /// 0.847 of what callers asked was earned in the seconds around a restart of
+    /// everything, with all of them 0.869 (model, `restart`, ten seeds).
+    pub fn new(slots: u32) -> Gate {
         let slots = slots.max(1);
-        let limit = match cold {
-            true => (slots / COLD_SHARE).max(1),
-            false => slots,
-        };
         Gate {
             slots,
-            limit: f64::from(limit),
+            limit: f64::from(slots),
             running: BTreeMap::new(),
             queue: BTreeMap::new(),
             waiting: HashMap::new(),
@@ -251,6 +261,7 @@
             work: BTreeMap::new(),
             urgent_work: Duration::ZERO,
             last_shed: None,
+            refused: (0.0, None),
             draining: false,
             next: 0,
         }
@@ -286,6 +297,19 @@
         self.times.of(kind)
     }
 
+    /// Returns the share of the calls sent to it that the upstream takes.
+    pub fn accepts(&self, now: Instant) -> f64 {
+        let (share, at) = self.refused;
+        let idle = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        1.0 - share * 0.5_f64.powf(idle.as_secs_f64() / FORGIVE.as_secs_f64())
+    }
+
+    fn observe_refusal(&mut self, refused: bool, now: Instant) {
+        let share = 1.0 - self.accepts(now);
+        let new = if refused { 1.0 } else { 0.0 };
+        self.refused = (share + ACCEPT_SMOOTHING * (new - share), Some(now));
+    }
+
     /// Returns whether the upstream is leaving.
     pub fn is_draining(&self) -> bool {
         self.draining
@@ -322,6 +346,9 @@
         if now + needed > arrival.objective {
             return Admission::Refuse(Refusal::Busy { retry_after: spread(wait, random) });
         }
+        if arrival.most_wait.is_zero() || wait > arrival.most_wait {
+            return Admission::Refuse(Refusal::Full { retry_after: spread(wait, random) });
+        }
         if self.queue.len() >= MAX_QUEUE {
             return Admission::Refuse(Refusal::QueueFull { retry_after: spread(wait, random) });
         }
@@ -332,6 +359,7 @@
     /// Takes in the end of a call that ran, and lets waiting ones in.
     pub fn ended(&mut self, ticket: Ticket, end: End, now: Instant) -> Vec<Wake> {
         let Some(kind) = self.running.remove(&ticket) else { return Vec::new() };
+        self.observe_refusal(end == End::Shed, now);
         match end {
             End::Answered(took) => {
                 self.times.observe(kind, took);
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -21,7 +21,7 @@
 /// Something that happens to a gate.
 #[derive(Clone, Copy, Debug)]
 enum Happens {
-    Arrive { deadline_ms: u64, caller: u64, high: bool },
+    Arrive { deadline_ms: u64, caller: u64, high: bool, patient: bool },
     End { shed: bool, took_ms: u64 },
     Cancel,
     Wait { ms: u64 },
@@ -30,8 +30,11 @@
 
 fn happens() -> impl Strategy<Value = Happens> {
     prop_oneof![
-        5 => (0_u64..200, 0_u64..3, any::<bool>())
-            .prop_map(|(deadline_ms, caller, high)| Happens::Arrive { deadline_ms, caller, high }),
+        5 => (0_u64..200, 0_u64..3, any::<bool>(), any::<bool>()).prop_map(
+            |(deadline_ms, caller, high, patient)| {
+                Happens::Arrive { deadline_ms, caller, high, patient }
+            }
+        ),
         4 => (any::<bool>(), 0_u64..50).prop_map(|(shed, took_ms)| Happens::End { shed, took_ms }),
         1 => Just(Happens::Cancel),
         2 => (0_u64..60).prop_map(|ms| Happens::Wait { ms }),
@@ -70,15 +73,14 @@
     #[test]
     fn a_gate_never_runs_more_than_its_slots(
         slots in 1_u32..5,
-        cold in any::<bool>(),
         events in proptest::collection::vec(happens(), 1..120),
     ) {
-        let mut gate = Gate::new(slots, cold);
+        let mut gate = Gate::new(slots);
         let mut now = Instant::now();
         let mut seen = Seen::default();
         for event in events {
             match event {
-                Happens::Arrive { deadline_ms, caller, high } => {
+                Happens::Arrive { deadline_ms, caller, high, patient } => {
                     let deadline = now + Duration::from_millis(deadline_ms);
                     let priority = if high { Priority::HIGH } else { Priority::LOW };
                     let caller = CallerKey(caller);
@@ -88,6 +90,7 @@
                         priority,
                         caller,
                         kind: KindKey::default(),
+                        most_wait: if patient { Duration::MAX } else { Duration::ZERO },
                     };
                     match gate.admit(arrival, now, 7) {
                         Admission::Run(ticket) => {
@@ -95,6 +98,7 @@
                             seen.running.insert(ticket);
                         }
                         Admission::Wait(ticket) => {
+                            prop_assert!(patient, "who may not wait is told so");
                             seen.deadlines.insert(ticket, deadline);
                             seen.waiting.insert(ticket);
                         }
@@ -180,7 +184,7 @@
         sets in proptest::collection::vec(proptest::collection::btree_set(0_u64..40, 0..10), 1..40),
     ) {
         let now = Instant::now();
-        let mut picker = Picker::new(Policy::ALL);
+        let mut picker = Picker::new(Policy::ALL, HostKey::of("me"));
         let demand = Demand {
             kind: KindKey::default(),
             priority: Priority::NORMAL,
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -5,7 +5,7 @@
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::request::choose::{
-    Demand, Known, Outcome, Picker, Place, Policy, UpstreamKey,
+    Demand, Known, Outcome, Picker, Place, Policy, Told, UpstreamKey,
 };
 use cicadashift_core::request::gate::{
     Admission, Arrival, CallerKey, End, Gate, KindKey, Ticket, Wake,
@@ -42,9 +42,9 @@
         World {
             base: Instant::now(),
             now_ms: 0,
-            gate: Gate::new(1, false),
+            gate: Gate::new(1),
             names: HashMap::new(),
-            picker: Picker::new(Policy::ALL),
+            picker: Picker::new(Policy::ALL, HostKey::of("me")),
             known: Vec::new(),
             budget: Budget::new(ALLOWANCE),
             random: 1,
@@ -180,7 +180,7 @@
     }
 
     fn make_gate(&mut self, case: &TestCase) -> String {
-        self.gate = Gate::new(number(case, "slots", 1) as u32, arg(case, "cold", "no") == "yes");
+        self.gate = Gate::new(number(case, "slots", 1) as u32);
         format!("limit {}\n", self.gate.limit())
     }
 
@@ -195,7 +195,11 @@
                 ms => self.now() + Duration::from_millis(ms),
             };
             let kind = KindKey(HostKey::of(arg(case, "kind", "any")).0);
-            let arrival = Arrival { deadline, objective, priority, caller, kind };
+            let most_wait = match case.args.contains_key("most_wait") {
+                true => Duration::from_millis(number(case, "most_wait", 0)),
+                false => Duration::MAX,
+            };
+            let arrival = Arrival { deadline, objective, priority, caller, kind, most_wait };
             let admitted = self.gate.admit(arrival, self.now(), 512);
             out.push_str(&match admitted {
                 Admission::Run(ticket) => {
@@ -316,18 +320,18 @@
 
     fn outcome(&mut self, case: &TestCase) -> String {
         let time = Duration::from_millis(number(case, "ms", 5));
+        let told = Told {
+            load: case.args.get("load").map(|_| number(case, "load", 0) as u16),
+            accepts: case.args.get("accepts").map(|_| number(case, "accepts", 100) as f64 / 100.0),
+        };
         let outcome = match arg(case, "as", "answered") {
-            "refused" => Outcome::Refused { retry_after: time, load: None },
+            "refused" => Outcome::Refused { retry_after: time, told },
+            "full" => Outcome::Full { told },
             "unreached" => Outcome::Unreached,
             "failed" => Outcome::Failed,
             "erred" => Outcome::Erred,
             "cancelled" => Outcome::Cancelled,
-            _ => Outcome::Answered { service: time, total: time, load: None },
-        };
-        let load = case.args.get("load").map(|_| number(case, "load", 0) as u16);
-        let outcome = match outcome {
-            Outcome::Answered { service, total, .. } => Outcome::Answered { service, total, load },
-            other => other,
+            _ => Outcome::Answered { service: time, total: time, told },
         };
         for _ in 0..number(case, "times", 1) {
             for name in list(case, "of") {
--- a/crates/measure/src/load/entry.rs
+++ b/crates/measure/src/load/entry.rs
@@ -4,7 +4,7 @@
 use super::exit::{Stage, Try};
 use super::world::{CallerId, Event, HostId, KindId, RequestId, TryId, World};
 use cicadashift_core::request::MIN_RETRY_AFTER;
-use cicadashift_core::request::choose::{Demand, Outcome, UpstreamKey};
+use cicadashift_core::request::choose::{Demand, Outcome, Told, UpstreamKey};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::{Attempt, Call, MAX_ATTEMPTS, Verdict};
 use std::time::Duration;
@@ -13,13 +13,18 @@
 /// has it.
 const CALLER_MARGIN: Duration = Duration::from_millis(25);
 
+/// Hosts asked for a free slot before a call waits at one.
+const ASKED_FREE: u32 = 2;
+
 /// What an entry daemon hears of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Got {
-    /// A whole answer: whether it is good, the time at the upstream and its load.
-    Answer { good: bool, service: Duration, load: u16 },
+    /// A whole answer: whether it is good, and the time at the upstream.
+    Answer { good: bool, service: Duration, told: Told },
     /// The exit daemon or the upstream did not take it.
-    Refused { retry_after: Duration, arrived: bool, load: u16 },
+    Refused { retry_after: Duration, arrived: bool, told: Told },
+    /// The exit daemon would have let it wait.
+    Full { told: Told },
     /// The host could not be reached.
     Unreached,
     /// No whole answer.
@@ -49,6 +54,9 @@
     soonest: Option<Duration>,
     may_have_run: bool,
     ended: bool,
+    /// Upstreams that had no free slot, and how many were asked so.
+    full: Vec<UpstreamKey>,
+    asked_free: u32,
 }
 
 impl World {
@@ -79,6 +87,8 @@
             soonest: None,
             may_have_run: false,
             ended: false,
+            full: Vec::new(),
+            asked_free: 0,
         };
         let left = request.deadline.saturating_sub(now);
         self.requests.push(request);
@@ -124,10 +134,23 @@
         let picker = &self.hosts[request.entry.0].pickers[service];
         match picker.choose(demand, at, random, &request.tried) {
             Ok(choice) => self.send(id, choice.key, demand),
-            Err(wait) => self.give_up(id, wait),
+            Err(wait) => match self.back_to_full(id) {
+                true => self.pursue(id),
+                false => self.give_up(id, wait),
+            },
         }
     }
 
+    /// Lets a request be sent to those that had no free slot, to wait there; returns
+    /// whether there are any.
+    fn back_to_full(&mut self, id: RequestId) -> bool {
+        let request = &mut self.requests[id.0];
+        let full = std::mem::take(&mut request.full);
+        request.asked_free = ASKED_FREE;
+        request.tried.retain(|key| !full.contains(key));
+        !full.is_empty()
+    }
+
     fn send(&mut self, id: RequestId, key: UpstreamKey, demand: Demand) {
         let now = self.now();
         let (entry, kind) = (self.requests[id.0].entry, self.requests[id.0].kind);
@@ -138,13 +161,29 @@
         let (host, name) = (HostId(known.host.0 as usize), known.instance.clone());
         let late_after = picker.late_after(demand);
         let life = name.split('@').next_back().and_then(|life| life.parse().ok()).unwrap_or(0);
+        let has_room = self.hosts[entry.0].pickers[service].has_room(key, self.instant(now));
+        let asks_free = self.switches.ask_free && self.requests[id.0].asked_free < ASKED_FREE;
+        let most_wait = if asks_free && has_room { Duration::ZERO } else { Duration::MAX };
         let way = self.way(entry, host);
         let back = self.way(host, entry);
         let stage = Stage::OnWay;
-        self.tries.push(Try { request: id, host, life, key, demand, sent: now, back, stage });
+        self.tries.push(Try {
+            request: id,
+            host,
+            life,
+            key,
+            demand,
+            sent: now,
+            back,
+            most_wait,
+            stage,
+        });
         let attempt = TryId(self.tries.len() - 1);
         let request = &mut self.requests[id.0];
         request.tried.push(key);
+        if most_wait.is_zero() {
+            request.full.push(key);
+        }
         request.open.push(attempt);
         self.after(way, Event::AtExit(attempt));
         if let Some(wait) = late_after.filter(|_| self.switches.second) {
@@ -188,13 +227,10 @@
         let now = self.now();
         let total = now.saturating_sub(sent);
         let outcome = match got {
-            Got::Answer { good: true, service, load } => {
-                Outcome::Answered { service, total, load: Some(load) }
-            }
+            Got::Answer { good: true, service, told } => Outcome::Answered { service, total, told },
             Got::Answer { good: false, .. } => Outcome::Erred,
-            Got::Refused { retry_after, load, .. } => {
-                Outcome::Refused { retry_after, load: Some(load) }
-            }
+            Got::Refused { retry_after, told, .. } => Outcome::Refused { retry_after, told },
+            Got::Full { told } => Outcome::Full { told },
             Got::Unreached => Outcome::Unreached,
             Got::Broken => Outcome::Failed,
         };
@@ -204,6 +240,13 @@
             Got::Answer { good: false, .. } | Got::Broken => Attempt::Unknown,
             Got::Refused { retry_after, arrived, .. } => Attempt::NotRun { retry_after, arrived },
             Got::Unreached => Attempt::unreached(),
+            Got::Full { .. } => {
+                self.requests[id.0].asked_free += 1;
+                if self.requests[id.0].asked_free >= ASKED_FREE {
+                    self.back_to_full(id);
+                }
+                return self.pursue(id);
+            }
         };
         self.missed(id, attempt);
     }
--- a/crates/measure/src/load/exit.rs
+++ b/crates/measure/src/load/exit.rs
@@ -3,8 +3,10 @@
 use super::caller::End;
 use super::entry::{Got, Parent};
 use super::world::{Event, HostId, KindId, RequestId, TryId, World};
-use cicadashift_core::request::choose::{Demand, UpstreamKey};
-use cicadashift_core::request::gate::{self, Admission, Arrival, CallerKey, Gate, Ticket, Wake};
+use cicadashift_core::request::choose::{Demand, Told, UpstreamKey};
+use cicadashift_core::request::gate::{
+    self, Admission, Arrival, CallerKey, Gate, Refusal, Ticket, Wake,
+};
 use std::time::Duration;
 
 /// How far an attempt is.
@@ -28,12 +30,14 @@
     pub sent: Duration,
     /// Time of the way back.
     pub back: Duration,
+    /// How long it may wait at the gate.
+    pub most_wait: Duration,
     pub stage: Stage,
 }
 
 impl World {
     pub(super) fn at_exit(&mut self, attempt: TryId) {
-        let Try { request, host, life, demand, .. } = self.tries[attempt.0];
+        let Try { request, host, life, demand, most_wait, .. } = self.tries[attempt.0];
         if self.tries[attempt.0].stage == Stage::Over {
             return;
         }
@@ -52,6 +56,7 @@
             priority: demand.priority,
             caller: CallerKey(self.requests[request.0].entry.0 as u64),
             kind: demand.kind,
+            most_wait,
         };
         let (at, random) = (self.instant(now), self.rng.u64(..));
         let state = &mut self.hosts[host.0];
@@ -64,18 +69,27 @@
                 state.tickets.insert(ticket, attempt);
                 self.tries[attempt.0].stage = Stage::Waits(ticket);
             }
+            Admission::Refuse(Refusal::Full { .. }) => {
+                let told = self.told(attempt);
+                self.answer(attempt, Got::Full { told });
+            }
             Admission::Refuse(refusal) => self.refuse(attempt, refusal.retry_after(), false),
         }
     }
 
     fn refuse(&mut self, attempt: TryId, retry_after: Duration, arrived: bool) {
-        let load = self.load(self.tries[attempt.0].host);
-        self.answer(attempt, Got::Refused { retry_after, arrived, load });
+        let told = self.told(attempt);
+        self.answer(attempt, Got::Refused { retry_after, arrived, told });
     }
 
-    fn load(&self, host: HostId) -> u16 {
+    /// Returns what the exit daemon tells of its upstream beside any answer.
+    fn told(&self, attempt: TryId) -> Told {
+        let host = self.tries[attempt.0].host;
         let gate = &self.hosts[host.0].gate;
-        (gate.running() + gate.queued()) as u16
+        Told {
+            load: Some((gate.running() + gate.queued()) as u16),
+            accepts: Some(gate.accepts(self.instant(self.now()))),
+        }
     }
 
     fn answer(&mut self, attempt: TryId, got: Got) {
@@ -178,8 +192,8 @@
     fn finish(&mut self, attempt: TryId, ticket: Ticket, good: bool) {
         let host = self.tries[attempt.0].host;
         let took = self.stop_nested(attempt);
-        let load = self.load(host);
-        self.answer(attempt, Got::Answer { good, service: took, load });
+        let told = self.told(attempt);
+        self.answer(attempt, Got::Answer { good, service: took, told });
         self.leave_gate(host, ticket, gate::End::Answered(took));
     }
 
@@ -242,7 +256,7 @@
     pub(super) fn break_all(&mut self, host: HostId) {
         let held: Vec<TryId> = self.hosts[host.0].tickets.drain().map(|(_, held)| held).collect();
         let slots = self.services[self.hosts[host.0].service].1.slots;
-        self.hosts[host.0].gate = Gate::new(u32::from(slots), true);
+        self.hosts[host.0].gate = Gate::new(u32::from(slots));
         for attempt in held {
             self.stop_nested(attempt);
             self.answer(attempt, Got::Broken);
--- a/crates/measure/src/load/mod.rs
+++ b/crates/measure/src/load/mod.rs
@@ -52,6 +52,8 @@
     pub second: bool,
     /// Callers that come back are known.
     pub returning: bool,
+    /// Hosts are asked for a free slot before a call waits.
+    pub ask_free: bool,
 }
 
 /// Why the model cannot be run.
@@ -133,7 +135,8 @@
 
 impl Switches {
     fn without(decision: Option<&str>) -> Result<Switches, LoadError> {
-        let mut on = Switches { choice: Policy::ALL, second: true, returning: true };
+        let mut on =
+            Switches { choice: Policy::ALL, second: true, returning: true, ask_free: true };
         let off = match decision {
             None => return Ok(on),
             Some("compare") => &mut on.choice.compare,
@@ -143,6 +146,9 @@
             Some("eject") => &mut on.choice.eject,
             Some("unproven") => &mut on.choice.unproven,
             Some("back_off") => &mut on.choice.back_off,
+            Some("subset") => &mut on.choice.subset,
+            Some("refusals") => &mut on.choice.refusals,
+            Some("ask_free") => &mut on.ask_free,
             Some("second") => &mut on.second,
             Some("returning") => &mut on.returning,
             Some(other) => return Err(LoadError::Decision(other.to_string())),
--- a/crates/measure/src/load/world.rs
+++ b/crates/measure/src/load/world.rs
@@ -246,7 +246,7 @@
                     announced: true,
                     cold_until: Duration::ZERO,
                     life: 0,
-                    gate: Gate::new(u32::from(service.slots), false),
+                    gate: Gate::new(u32::from(service.slots)),
                     tickets: HashMap::new(),
                     refuses: 0.0,
                     fails: 0.0,
@@ -260,8 +260,8 @@
         }
         let allowance = self.allowance();
         let (policy, services) = (self.switches.choice, self.services.len());
-        for host in &mut self.hosts {
-            host.pickers = vec![Picker::new(policy); services];
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            host.pickers = vec![Picker::new(policy, HostKey(index as u64)); services];
             host.budgets = vec![Budget::new(allowance); services];
         }
     }
@@ -373,7 +373,7 @@
         let policy = self.switches.choice;
         let state = &mut self.hosts[host.0];
         state.open = true;
-        state.pickers = vec![Picker::new(policy); services];
+        state.pickers = vec![Picker::new(policy, HostKey(host.0 as u64)); services];
         state.budgets = vec![Budget::new(allowance); services];
         state.returning = Returning::default();
     }
@@ -387,7 +387,7 @@
         state.up = true;
         state.life += 1;
         state.cold_until = cold_until;
-        state.gate = Gate::new(u32::from(slots), cold_s > 0.0);
+        state.gate = Gate::new(u32::from(slots));
         let wait = REPORT_EVERY.mul_f64(self.rng.f64());
         self.after(wait, Event::Reports(host));
         self.after(Duration::from_secs_f64(cold_s) + wait, Event::News);
@@ -403,7 +403,7 @@
     fn spread_news(&mut self) {
         let now = self.instant(self.now);
         let told: Vec<(usize, usize, Known)> =
-            (0..self.hosts.len()).filter_map(|host| self.told(host)).collect();
+            (0..self.hosts.len()).filter_map(|host| self.announcement(host)).collect();
         for me in 0..self.hosts.len() {
             let own = self.hosts[me].domain;
             for service in 0..self.services.len() {
@@ -421,7 +421,7 @@
         }
     }
 
-    fn told(&self, host: usize) -> Option<(usize, usize, Known)> {
+    fn announcement(&self, host: usize) -> Option<(usize, usize, Known)> {
         let state = &self.hosts[host];
         if !state.announced {
             return None;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -32,6 +32,9 @@
 pub const RETRY_AFTER_MS: &str = "cicadashift-retry-after-ms";
 /// On answers between daemons: calls now at the upstream and waiting for it.
 pub const LOAD: &str = "cicadashift-load";
+/// On answers between daemons: calls in a thousand that the upstream takes of those
+/// sent to it.
+pub const ACCEPTS: &str = "cicadashift-accepts";
 /// On answers between daemons: microseconds from sending to the upstream to the
 /// head of its answer.
 pub const SERVICE_US: &str = "cicadashift-service-us";
@@ -59,6 +62,8 @@
     /// Milliseconds for which the link of the exit daemon's host may be busy for a
     /// large answer to be taken on.
     pub link_most_ms: u32,
+    /// Milliseconds that it may be expected to wait for a slot.
+    pub wait_most_ms: u32,
     /// From its route.
     pub priority: Priority,
     /// Names the caller for fairness.
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -241,8 +241,7 @@
 
 impl Local {
     fn new(announced: Announcement, now: Instant) -> Local {
-        let cold = announced.readiness == Readiness::Cold;
-        let mut gate = Gate::new(u32::from(announced.slots), cold);
+        let mut gate = Gate::new(u32::from(announced.slots));
         if announced.readiness == Readiness::Draining {
             let _nobody_waits = gate.drain();
         }
@@ -329,6 +328,11 @@
         lock(&self.state).gate.time_of(kind)
     }
 
+    /// Returns the share of the calls sent to it that it takes.
+    pub fn accepts(&self, now: Instant) -> f64 {
+        lock(&self.state).gate.accepts(now)
+    }
+
     /// Returns its load.
     pub fn load(&self) -> Load {
         let state = lock(&self.state);
--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -99,9 +99,10 @@
 
 /// Returns one of our reasons; text from the network goes no further.
 fn known_reason(text: Option<&str>) -> &'static str {
-    const REASONS: [&str; 15] = [
+    const REASONS: [&str; 16] = [
         "truncated",
         "busy",
+        "full",
         "link-busy",
         "too-late",
         "draining",
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -8,7 +8,7 @@
 use super::answer::{Answer, Got};
 use super::entry::{refuse, unknown};
 use super::payload::Payload;
-use super::send::send;
+use super::send::{Patience, send};
 use super::story::{Choose, Missed};
 use crate::daemon::services::Target;
 use crate::daemon::{Daemon, liveness};
@@ -32,6 +32,13 @@
 const LINK_BUSY_MOST: Duration = Duration::from_millis(160);
 /// Hosts asked in that way.
 const LINKS_ASKED: u32 = 2;
+/// Hosts asked for a free slot before a call waits at one, while what is known of them
+/// says that they have one. Where all are full each question costs two daemons their
+/// time: asked of two hosts whatever was known, a service with a third of the slots
+/// that it needs earned 0.246 of a day's worth in place of 0.371 (played day).
+const ASKED_FREE: u32 = 2;
+/// Why a host did not take a call on that would have had to wait.
+const FULL: &str = "full";
 /// Why a host did not take a large answer on.
 const LINK_BUSY: &str = "link-busy";
 /// Why an attempt at a host without a sign of life is given up.
@@ -106,6 +113,10 @@
     /// Hosts whose link was too busy for the answer; one of them may be asked again,
     /// since what they said counts in the choice.
     links_busy: u32,
+    /// Upstreams that had no free slot. They may be asked again, to wait there.
+    full: Vec<UpstreamKey>,
+    /// Hosts asked for a free slot.
+    asked_free: u32,
     /// Attempts that reached an upstream or may have.
     arrivals: u32,
     last_refusal: Option<(&'static str, Duration)>,
@@ -121,8 +132,31 @@
         self.tried.len() as u32 + self.links_busy
     }
 
-    fn link_most(&self) -> Duration {
-        if self.links_busy < LINKS_ASKED { LINK_BUSY_MOST } else { Duration::MAX }
+    /// Returns how long the call may wait at the next host.
+    fn patience(&self, target: &Target) -> Patience {
+        let asks_free = target.has_room && self.asked_free < ASKED_FREE;
+        Patience {
+            link: if self.links_busy < LINKS_ASKED { LINK_BUSY_MOST } else { Duration::MAX },
+            slot: if asks_free { Duration::ZERO } else { Duration::MAX },
+        }
+    }
+
+    /// Takes in that a host had no free slot.
+    fn was_full(&mut self, key: UpstreamKey) {
+        self.full.push(key);
+        self.asked_free += 1;
+        if self.asked_free >= ASKED_FREE {
+            self.back_to_full();
+        }
+    }
+
+    /// Lets the call be sent to those that had no free slot, to wait there; returns
+    /// whether there are any.
+    fn back_to_full(&mut self) -> bool {
+        let full = std::mem::take(&mut self.full);
+        self.asked_free = ASKED_FREE;
+        self.tried.retain(|tried| !full.contains(tried));
+        !full.is_empty()
     }
 
     /// Takes in how an attempt ended, other than with an answer to pass on.
@@ -148,6 +182,7 @@
         }
         let target = match d.services.choose(&work.service, work.demand(now), now, &so_far.tried) {
             Ok(target) => target,
+            Err(_) if so_far.back_to_full() => continue,
             Err(wait) => {
                 let (reason, wait) = so_far.last_refusal.unwrap_or(("no-upstream", wait));
                 return give_up(d, &work, so_far, reason, wait);
@@ -164,6 +199,10 @@
             }
             Got::None(attempt, reason) => (attempt, reason),
         };
+        if reason == FULL {
+            so_far.was_full(target.choice.key);
+            continue;
+        }
         if reason == LINK_BUSY {
             so_far.tried.retain(|key| *key != target.choice.key);
             so_far.links_busy += 1;
@@ -221,7 +260,12 @@
         return Got::None(Attempt::Unknown, "body-spent");
     };
     let began = d.clock.now();
-    let mut first = Box::pin(send(d, work, target, body, so_far.link_most()));
+    let patience = match payload.is_left() {
+        true => so_far.patience(target),
+        // What cannot be sent again waits where it is.
+        false => Patience { slot: Duration::MAX, ..so_far.patience(target) },
+    };
+    let mut first = Box::pin(send(d, work, target, body, patience));
     let may_double = work.repeatable && payload.is_left() && so_far.arrivals + 1 < work.allowed;
     let why = match race(first.as_mut(), late(d, work, target, may_double)).await {
         Raced::First(got) => return got,
@@ -245,7 +289,7 @@
     d.metrics.incr("call.doubled");
     log_missed(d, work, target, Attempt::Unknown, why, Verdict::Again, work.started);
     log_choice(d, work, &spare, so_far.asked());
-    let second = Box::pin(send(d, work, &spare, body, Duration::MAX));
+    let second = Box::pin(send(d, work, &spare, body, Patience::LAST));
     better_of(first, second).await
 }
 
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -71,6 +71,7 @@
         priority: cx.priority,
         caller: CallerKey(cx.caller),
         kind,
+        most_wait: Duration::from_millis(u64::from(cx.wait_most_ms)),
     };
     let pass = match local.admit(arrival, arrived).await {
         Ok(pass) => pass,
@@ -198,9 +199,8 @@
     headers::strip_ours(&mut head.headers);
     let idle = idle_time(&head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
-    let load = local.load();
     let service = d.clock.now().saturating_duration_since(started);
-    headers::set(&mut head.headers, call::LOAD, &(load.running + load.queued).to_string());
+    tell_upstream(d, local, &mut head.headers);
     headers::set(&mut head.headers, call::SERVICE_US, &service.as_micros().to_string());
     let whole = {
         let (d, local) = (d.clone(), local.clone());
@@ -239,6 +239,15 @@
     }
 }
 
+/// Tells the entry daemon how the upstream is. What this daemon saw of all its calls is
+/// worth more than what an entry daemon learns from the few that it sends there.
+fn tell_upstream(d: &Daemon, local: &Arc<Local>, head: &mut HeaderMap) {
+    let load = local.load();
+    headers::set(head, call::LOAD, &(load.running + load.queued).to_string());
+    let accepts = local.accepts(d.clock.now()) * 1e3;
+    headers::set(head, call::ACCEPTS, &(accepts.round() as u64).to_string());
+}
+
 /// Tells the entry daemon how busy this host's link is.
 fn tell_link(d: &Daemon, head: &mut HeaderMap) {
     let Some(link) = &d.link else { return };
@@ -315,8 +324,8 @@
     log_admit(d, cx, &reason, arrived, local);
     d.metrics.incr("exit.refused");
     let mut res = headers::not_run(&reason, refusal.retry_after(), false);
-    if let Some(load) = local.map(|local| local.load()) {
-        headers::set(res.headers_mut(), call::LOAD, &(load.running + load.queued).to_string());
+    if let Some(local) = local {
+        tell_upstream(d, local, res.headers_mut());
     }
     tell_link(d, res.headers_mut());
     res
@@ -331,7 +340,9 @@
     local: &Arc<Local>,
 ) -> Response<Body> {
     log_admit(d, cx, reason, started, Some(local));
-    headers::not_run(reason, wait, false)
+    let mut res = headers::not_run(reason, wait, false);
+    tell_upstream(d, local, res.headers_mut());
+    res
 }
 
 fn unknown(
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -7,13 +7,14 @@
 use crate::daemon::costs::Purpose;
 use crate::daemon::services::{Flight, Target};
 use crate::daemon::{Daemon, liveness};
-use cicadashift_core::request::choose::{Outcome, Place};
+use cicadashift_core::request::choose::{Outcome, Place, Told};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::Attempt;
 use cicadashift_http::body::Body;
 use cicadashift_http::client::{IDLE_TIME, SendError};
 use cicadashift_http::exec;
 use cicadashift_http::hyper::body::Body as HttpBody;
+use cicadashift_http::hyper::header::HeaderMap;
 use cicadashift_http::hyper::{Request, Response};
 use cicadashift_wire::call::{self, Context};
 use cicadashift_wire::rpc;
@@ -29,16 +30,29 @@
 /// Bytes of the heads of a call and of its answer between daemons, for the count.
 const CALL_HEAD: usize = 600;
 
+/// How long a call may wait at one host, while others can still be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// For the host's link, if its answer is large.
+    pub link: Duration,
+    /// For a slot of the upstream.
+    pub slot: Duration,
+}
+
+impl Patience {
+    /// As long as there is time.
+    pub const LAST: Patience = Patience { link: Duration::MAX, slot: Duration::MAX };
+}
+
 /// Sends a call to a chosen upstream and reads its answer as far as it is held.
 ///
-/// A large answer is taken on only where the host's link is not busy for longer than
-/// `link_most`.
+/// It is taken on only where it has to wait no longer than `patience` says.
 pub async fn send(
     d: &Arc<Daemon>,
     work: &Work,
     target: &Target,
     body: Body,
-    link_most: Duration,
+    patience: Patience,
 ) -> Got {
     let started = d.clock.now();
     let demand = work.demand(started);
@@ -49,7 +63,7 @@
         return Got::None(Attempt::unreached(), "unreached");
     };
     d.liveness.asked(target.host, started);
-    let cx = context(d, work, target, left, link_most, started);
+    let cx = context(d, work, target, left, patience, started);
     let req = request(work, body);
     let is_far = target.place == Place::Far;
     d.costs.add(Purpose::Call, is_far, CALL_HEAD + size_of(req.body()));
@@ -116,7 +130,7 @@
 ) -> Got {
     let (head, body) = res.into_parts();
     d.costs.add(Purpose::Answer, target.place == Place::Far, CALL_HEAD + size_of(&body));
-    let load = headers::number(&head.headers, call::LOAD).map(|load| load as u16);
+    let told = told(&head.headers);
     let key = target.choice.key;
     if let Some(ms) = headers::number(&head.headers, call::LINK_MS) {
         let now = d.clock.now();
@@ -127,7 +141,8 @@
         flight.end(match attempt {
             Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
             Attempt::NotRun { .. } if reason == "link-busy" => Outcome::LinkBusy,
-            Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after, load },
+            Attempt::NotRun { .. } if reason == "full" => Outcome::Full { told },
+            Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after, told },
             Attempt::Unknown | Attempt::Answered => Outcome::Failed,
         });
         return Got::None(attempt, reason);
@@ -140,7 +155,7 @@
             let service = service.unwrap_or(total);
             flight.end(match answer.is_failure() {
                 true => Outcome::Erred,
-                false => Outcome::Answered { service, total, load },
+                false => Outcome::Answered { service, total, told },
             });
             let kind = KindKey(work.kind);
             let large = answer.is_large();
@@ -163,12 +178,20 @@
     body.size_hint().lower() as usize
 }
 
+/// Reads what the exit daemon tells of its upstream.
+fn told(head: &HeaderMap) -> Told {
+    Told {
+        load: headers::number(head, call::LOAD).map(|load| load as u16),
+        accepts: headers::number(head, call::ACCEPTS).map(|share| share.min(1000) as f64 / 1e3),
+    }
+}
+
 fn context(
     d: &Daemon,
     work: &Work,
     target: &Target,
     left: Duration,
-    link_most: Duration,
+    patience: Patience,
     now: Instant,
 ) -> Context {
     let ms = |time: Duration| time.as_millis().min(u128::from(u32::MAX)) as u32;
@@ -177,7 +200,8 @@
         instance: target.instance.clone(),
         deadline_ms: ms(left),
         objective_ms: ms(work.objective.saturating_duration_since(now)),
-        link_most_ms: ms(link_most),
+        link_most_ms: ms(patience.link),
+        wait_most_ms: ms(patience.slot),
         priority: work.route.priority,
         caller: work.caller,
         call_kind: work.kind,
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -27,11 +27,12 @@
 }
 
 impl Service {
-    fn start(&mut self, choice: Choice) -> Target {
+    fn start(&mut self, choice: Choice, now: Instant) -> Target {
+        let has_room = self.picker.has_room(choice.key, now);
         self.picker.started(choice.key);
         let known = self.picker.known(choice.key);
         let (host, place, instance) = (known.host, known.place, known.instance.clone());
-        Target { choice, host, place, instance, known: self.picker.len() }
+        Target { choice, host, place, instance, has_room, known: self.picker.len() }
     }
 }
 
@@ -63,6 +64,8 @@
     pub place: Place,
     /// The instance's name.
     pub instance: String,
+    /// Whether it has a free slot, as far as is known.
+    pub has_room: bool,
     /// Upstreams of the service that take work.
     pub known: usize,
 }
@@ -91,7 +94,7 @@
             let new: Vec<_> =
                 by_service.keys().filter(|name| shard_of(name) == i).cloned().collect();
             for name in new {
-                let mut picker = Picker::new(self.policy);
+                let mut picker = Picker::new(self.policy, d.me);
                 picker.sync(by_service.remove(&name).unwrap_or_default(), now);
                 let budget = Budget::new(allowance(d));
                 shard.insert(name, Service { picker, budget });
@@ -124,7 +127,7 @@
     ) -> Result<Target, Duration> {
         let chosen = self.with(name, |service| {
             let choice = service.picker.choose(demand, now, fastrand::u64(..), tried)?;
-            Ok(service.start(choice))
+            Ok(service.start(choice, now))
         });
         chosen.unwrap_or(Err(UNANNOUNCED_WAIT))
     }
@@ -141,7 +144,7 @@
         let chosen = self.with(name, |service| {
             let choice = service.picker.choose(demand, now, fastrand::u64(..), tried).ok()?;
             let pays = service.picker.has_room(choice.key, now) && service.budget.spend();
-            pays.then(|| service.start(choice))
+            pays.then(|| service.start(choice, now))
         });
         chosen.flatten()
     }
