Give memory back, and hold less of it

Ruled out: jemalloc (7.8 GB x seconds against 7.0), mimalloc (31.5), trimming every two seconds (no further gain).

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -149,7 +149,11 @@
             return NOT_DONE;
         }
     };
-    let result = exec::run(settings.threads, until_signal(settings, file, &handle));
+    let threads = settings.threads;
+    // Boxed, since the future of all of it would lie on the stack several times: 236 KB
+    // that are never given back.
+    let daemon = Box::pin(until_signal(settings, file, &handle));
+    let result = exec::run(threads, daemon);
     handle.flush();
     match result {
         Ok(()) => DONE,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod operator;
 pub mod settings;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -196,7 +196,7 @@
             json: true,
             decisions: true,
             ordinary_per_s: 20,
-            buffer_lines: 8192,
+            buffer_lines: 1024,
         }
     }
 }
