Show in the logs what calls ask for, and what was at an upstream that ended

Cause: the logs name calls by ids, which are new with each arrival, so that the ends of nineteen upstreams in a row could not be told from ends under load. Ruled out: reading it from what is there; ids of most ends share nothing. Change: a keyed digest of a call's contents in the lines choose and admit, and one line for each upstream that ended under its calls, told from a lost answer by a refused connection. No decision hangs on it yet.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -74,6 +74,44 @@
     }
 }
 
+/// Names what a call asks for: calls with the same contents have the same digest,
+/// whichever id they carry and whichever host they come to.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default)]
+pub struct CallDigest(pub u64);
+
+impl CallDigest {
+    /// Parses the form that [`fmt::Display`] writes, or returns `None`.
+    pub fn from_hex(text: &str) -> Option<CallDigest> {
+        let is_hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        is_hex.then(|| u64::from_str_radix(text, 16).ok().map(CallDigest)).flatten()
+    }
+}
+
+impl fmt::Display for CallDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for CallDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Names one start of one upstream.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Debug, Default,
+)]
+pub struct StartKey(pub u64);
+
+impl StartKey {
+    /// Returns the key of the start with this name in the mesh.
+    pub fn of(name: &str) -> StartKey {
+        StartKey(hash64(name))
+    }
+}
+
 /// Counts one life of a daemon: a later start has a larger number.
 pub type Incarnation = u64;
 
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -5,7 +5,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use cicadashift_core::config::Priority;
-use cicadashift_core::ids::Version;
+use cicadashift_core::ids::{CallDigest, Version};
 use serde::{Deserialize, Serialize};
 
 /// Header between daemons that carries a [`Context`].
@@ -64,6 +64,8 @@
     pub link_most_ms: u32,
     /// Milliseconds that it may be expected to wait for a slot.
     pub wait_most_ms: u32,
+    /// Names what it asks for, whatever its id.
+    pub digest: CallDigest,
     /// From its route.
     pub priority: Priority,
     /// Names the caller for fairness.
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -6,12 +6,14 @@
 //! ignores old records, a repetition changes nothing. See `docs/DESIGN.md`,
 //! "What is trusted".
 
+use cicadashift_core::ids::CallDigest;
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 
 /// Bytes of a datagram's seal.
 pub const SEAL_BYTES: usize = 16;
 
+const DIGEST_CONTEXT: &[u8] = b"cicadashift call digest 1";
 const TOKEN_CONTEXT: &[u8] = b"cicadashift mesh token 1";
 
 /// The key that all daemons of one mesh share.
@@ -46,6 +48,20 @@
         value.len() == token.len() && differ == 0
     }
 
+    /// Returns the digest of a call's parts.
+    ///
+    /// It is keyed, so that a caller cannot make a call whose digest is that of
+    /// somebody else's, and the same at all holders of the key.
+    pub fn digest(&self, parts: &[&[u8]]) -> CallDigest {
+        let mut mac = self.mac.clone().chain_update(DIGEST_CONTEXT);
+        for part in parts {
+            mac.update(&(part.len() as u64).to_le_bytes());
+            mac.update(part);
+        }
+        let tag = mac.finalize().into_bytes();
+        CallDigest(u64::from_le_bytes(std::array::from_fn(|i| tag[i])))
+    }
+
     /// Appends the seal to a datagram.
     pub fn seal(&self, buf: &mut Vec<u8>) {
         let tag = self.mac.clone().chain_update(&*buf).finalize().into_bytes();
--- /dev/null
+++ b/src/daemon/ended.rs
@@ -0,0 +1,115 @@
+//! Telling an upstream that ended from an answer that was lost.
+//!
+//! When an upstream ends, every call at it breaks in one moment, and nobody listens at
+//! its address until it is started again. When it loses one answer, the other calls run
+//! on, or a new connection is taken. One question after a call broke tells the two apart
+//! within milliseconds; reports would take seconds to be missed.
+//!
+//! # Limits
+//!
+//! An upstream whose host ends with it is not seen here, since this daemon ends too. One
+//! that ends after its answers have left leaves no call behind that could be named.
+
+use super::Daemon;
+use super::gates::Local;
+use cicadashift_http::exec;
+use smol::Async;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// Time in which the other calls at an upstream that ended are seen to break as well:
+/// their connections close in one moment, and their tasks have to be run.
+const SETTLE: Duration = Duration::from_millis(2);
+/// Time after which an address that still takes connections is asked once more: the
+/// system may close the listening socket of a process that ends after its connections.
+const ASK_AGAIN: Duration = Duration::from_millis(15);
+/// Time for one connection on the own host.
+const CONNECT_TIME: Duration = Duration::from_millis(200);
+/// For how long an upstream that was found alive is not asked again. A connection costs
+/// it about a millisecond, and one that loses many answers need not be asked for each.
+const ALIVE_FOR: Duration = Duration::from_millis(100);
+
+/// What is known of an upstream's end.
+#[derive(Default)]
+pub struct EndCheck {
+    /// Calls that broke and wait for the answer.
+    breaking: AtomicUsize,
+    found: smol::lock::Mutex<Found>,
+}
+
+#[derive(Clone, Copy, Default)]
+enum Found {
+    /// Nobody asked.
+    #[default]
+    Nothing,
+    /// It lived at this moment.
+    Alive(Instant),
+    /// It ended.
+    Ended,
+}
+
+/// A call that broke; counted while it waits for what is found.
+struct Breaking<'a>(&'a AtomicUsize);
+
+impl<'a> Breaking<'a> {
+    fn new(count: &'a AtomicUsize) -> Breaking<'a> {
+        count.fetch_add(1, Ordering::Relaxed);
+        Breaking(count)
+    }
+}
+
+impl Drop for Breaking<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Finds out whether an upstream ended when a call at it broke; to be called before the
+/// call is taken off those at work there. Logs what was at it once.
+pub async fn after_break(d: &Daemon, local: &Arc<Local>) -> bool {
+    let _counted = Breaking::new(&local.end_check.breaking);
+    find(d, local).await
+}
+
+async fn find(d: &Daemon, local: &Arc<Local>) -> bool {
+    // The first call asks, the others wait here for what it finds.
+    let mut found = local.end_check.found.lock().await;
+    match *found {
+        Found::Ended => return true,
+        Found::Alive(at) if d.clock.now() < at + ALIVE_FOR => return false,
+        Found::Alive(_) | Found::Nothing => {}
+    }
+    // One that leaves ends by its own will, whatever is at it.
+    if local.leaves() || !is_over(local).await {
+        *found = Found::Alive(d.clock.now());
+        return false;
+    }
+    *found = Found::Ended;
+    let calls = local.at_work();
+    let names: Vec<String> = calls.iter().map(|call| call.to_string()).collect();
+    d.metrics.incr("upstream.ended");
+    log::warn!("upstream {} ended, {} calls at it: {}", local.name, names.len(), names.join(" "));
+    true
+}
+
+async fn is_over(local: &Local) -> bool {
+    smol::Timer::after(SETTLE).await;
+    let breaking = local.end_check.breaking.load(Ordering::Relaxed);
+    if local.at_work().len() > breaking && !local.is_unreached() {
+        return false;
+    }
+    if is_refused(local.address).await {
+        return true;
+    }
+    smol::Timer::after(ASK_AGAIN).await;
+    is_refused(local.address).await
+}
+
+/// Returns whether nobody listens at an address of this host.
+async fn is_refused(address: SocketAddr) -> bool {
+    let connected = exec::timeout(CONNECT_TIME, Async::<TcpStream>::connect(address)).await;
+    matches!(connected, Some(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
+}
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -1,6 +1,8 @@
 //! Upstreams on this host, and admission to them.
 
+use super::ended::EndCheck;
 use super::{Daemon, lock};
+use cicadashift_core::ids::CallDigest;
 use cicadashift_core::membership::record::{Endpoint, Readiness};
 use cicadashift_core::request::gate::{
     Admission, Arrival, End, Gate, KindKey, Refusal, Ticket, Wake,
@@ -38,6 +40,8 @@
     pub pool: Pool,
     /// Where it serves.
     pub address: SocketAddr,
+    /// Whether it ended, once calls at it broke.
+    pub end_check: EndCheck,
     state: Mutex<LocalState>,
 }
 
@@ -46,6 +50,10 @@
     announced: Announcement,
     reported: Instant,
     unreached: u32,
+    /// Whether it said that it leaves, or was replaced.
+    leaves: bool,
+    /// What is at the upstream now.
+    at_work: HashMap<Ticket, CallDigest>,
     waiting: HashMap<Ticket, Sender<Result<(), Refusal>>>,
 }
 
@@ -252,10 +260,18 @@
             0 => instance.clone(),
             start => format!("{instance}@{start}"),
         };
-        let state =
-            LocalState { gate, announced, reported: now, unreached: 0, waiting: HashMap::new() };
+        let state = LocalState {
+            gate,
+            leaves: announced.readiness == Readiness::Draining,
+            announced,
+            reported: now,
+            unreached: 0,
+            at_work: HashMap::new(),
+            waiting: HashMap::new(),
+        };
         let pool = Pool::new(connections);
-        Local { name, instance, pool, address, state: Mutex::new(state) }
+        let state = Mutex::new(state);
+        Local { name, instance, pool, address, end_check: EndCheck::default(), state }
     }
 
     /// Returns when it started, zero where that is not told.
@@ -305,6 +321,21 @@
         lock(&self.state).unreached += 1;
     }
 
+    /// Returns whether it was not to be connected to lately.
+    pub fn is_unreached(&self) -> bool {
+        lock(&self.state).unreached > 0
+    }
+
+    /// Returns whether it said that it leaves, or another one has its address.
+    pub fn leaves(&self) -> bool {
+        lock(&self.state).leaves
+    }
+
+    /// Returns what is at the upstream now.
+    pub fn at_work(&self) -> Vec<CallDigest> {
+        lock(&self.state).at_work.values().copied().collect()
+    }
+
     /// Notes that a call was given up without a word from the upstream: its
     /// other connections may be as silent.
     pub fn silent(&self, d: &Daemon) {
@@ -370,6 +401,7 @@
 
     fn drain(&self) {
         let mut state = lock(&self.state);
+        state.leaves = true;
         let wakes = state.gate.drain();
         state.tell(wakes);
     }
@@ -388,6 +420,7 @@
         if matches!(end, End::Answered(_)) {
             state.unreached = 0;
         }
+        state.at_work.remove(&ticket);
         let wakes = state.gate.ended(ticket, end, now);
         state.tell(wakes);
     }
@@ -409,6 +442,7 @@
         }
         self.announced.readiness = readiness;
         if readiness == Readiness::Draining {
+            self.leaves = true;
             log::info!("upstream {} leaves", self.announced.instance);
             let wakes = self.gate.drain();
             self.tell(wakes);
@@ -470,6 +504,11 @@
         Pass { local: local.clone(), ticket, ended: false }
     }
 
+    /// Records what is about to be sent.
+    pub fn begin(&self, call: CallDigest) {
+        lock(&self.local.state).at_work.insert(self.ticket, call);
+    }
+
     /// Records how the call ended.
     pub fn end(mut self, end: End, now: Instant) {
         self.ended = true;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -14,6 +14,7 @@
 pub mod costs;
 pub mod discovery;
 pub mod document;
+pub mod ended;
 pub mod garbage;
 pub mod gates;
 pub mod gateway;
--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -89,7 +89,7 @@
     headers::strip_hop_by_hop(&mut head.headers);
     match hold(body, HELD_BYTES, u64::MAX).await {
         Ok(Payload::Held(buf)) => Ok(Answer { head, body: AnswerBody::Whole(buf) }),
-        Ok(Payload::Streamed(body)) => {
+        Ok(Payload::Streamed(body, _)) => {
             let body = body.unwrap_or_else(body::empty);
             Ok(Answer { head, body: AnswerBody::Streaming(body) })
         }
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -13,6 +13,7 @@
 use crate::daemon::services::Target;
 use crate::daemon::{Daemon, liveness};
 use cicadashift_core::config::Route;
+use cicadashift_core::ids::CallDigest;
 use cicadashift_core::request::MIN_RETRY_AFTER;
 use cicadashift_core::request::choose::{Demand, Reason, UpstreamKey};
 use cicadashift_core::request::gate::KindKey;
@@ -48,6 +49,8 @@
 pub struct Work {
     /// Names the call.
     pub request_id: String,
+    /// Names what it asks for, whatever its id.
+    pub digest: CallDigest,
     /// Version of the configuration that routed it.
     pub version: u64,
     /// Its route.
@@ -426,6 +429,7 @@
     let line = Choose {
         kind: "choose",
         request: &work.request_id,
+        digest: work.digest.to_string(),
         version: work.version,
         service: &work.service,
         upstream: &target.instance,
--- /dev/null
+++ b/src/daemon/request/digest.rs
@@ -0,0 +1,50 @@
+//! What makes two calls the same.
+//!
+//! A caller that sends a call again gives it a new id, and may send it to another
+//! host. Its digest stays: the method, the host and path asked for, the names that
+//! the caller goes by, and the body. Headers that differ with each try are left out.
+//!
+//! # Limits
+//!
+//! Of a body that is too long to be held, its beginning counts, since the rest is not
+//! known before it is sent on. Its length does not: the same body may come in chunks.
+
+use super::headers;
+use super::payload::Payload;
+use cicadashift_core::ids::CallDigest;
+use cicadashift_http::hyper::header;
+use cicadashift_http::hyper::http::request::Parts;
+use cicadashift_wire::call;
+use cicadashift_wire::seal::MeshKey;
+
+/// What of a call's head goes into its digest, taken before headers are removed.
+pub struct Asked {
+    host: String,
+    caller: [String; 2],
+}
+
+impl Asked {
+    /// Takes it from a head as the caller sent it.
+    pub fn of(head: &Parts) -> Asked {
+        let text = |name: &str| headers::text(&head.headers, name).unwrap_or_default().to_string();
+        let host = head.uri.authority().map(|host| host.to_string());
+        Asked {
+            host: host.unwrap_or_else(|| text(header::HOST.as_str())),
+            caller: [text(call::CALLER), text(header::AUTHORIZATION.as_str())],
+        }
+    }
+
+    /// Returns the digest of the call.
+    pub fn digest(&self, key: &MeshKey, head: &Parts, payload: &mut Payload) -> CallDigest {
+        let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+        let body = payload.take_begun();
+        key.digest(&[
+            head.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            path.as_bytes(),
+            self.caller[0].as_bytes(),
+            self.caller[1].as_bytes(),
+            &body,
+        ])
+    }
+}
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -1,6 +1,7 @@
 //! The entry side of a call: match, check, hold the body.
 
 use super::attempts::{self, Work};
+use super::digest::Asked;
 use super::payload::{MAX_HELD, hold};
 use super::story::Refuse;
 use super::tracked::Counted;
@@ -96,10 +97,11 @@
     let most = route.max_attempts.unwrap_or(MAX_ATTEMPTS);
     let allowed = left.map_or(most, |left| left.min(u64::from(most)) as u32);
     let caller = caller_key(&head, peer);
+    let asked_for = Asked::of(&head);
     headers::strip_ours(&mut head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
     let turn = head.extensions.remove::<Turn>();
-    let payload = match exec::timeout(time, hold(incoming, MAX_HELD, route.max_body)).await {
+    let mut payload = match exec::timeout(time, hold(incoming, MAX_HELD, route.max_body)).await {
         Some(Ok(payload)) => payload,
         Some(Err(BodyError::TooLong)) => {
             return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the limit\n");
@@ -107,12 +109,14 @@
         Some(Err(_)) => return headers::plain(StatusCode::BAD_REQUEST, "body is not whole\n"),
         None => return headers::plain(StatusCode::REQUEST_TIMEOUT, "body came too slowly\n"),
     };
+    let digest = asked_for.digest(&d.key, &head, &mut payload);
     let service = attempts::pick_part(&route, fastrand::u64(..)).to_string();
     let repeatable = route.may_repeat(head.method.as_str());
     let objective = first_came + route.objective();
     let deadline = started + time;
     let work = Work {
         request_id,
+        digest,
         version,
         route,
         service,
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -6,7 +6,7 @@
 use super::story::Admit;
 use super::tracked::{Counted, Tracked};
 use crate::daemon::gates::{Local, Pass};
-use crate::daemon::{Daemon, lock};
+use crate::daemon::{Daemon, ended, lock};
 use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
 use cicadashift_core::request::link::Large;
 use cicadashift_core::request::spread;
@@ -121,6 +121,7 @@
     let started = d.clock.now();
     let left = deadline - started;
     set_upstream_headers(&d, &cx, &local.instance, req.headers_mut(), left);
+    pass.begin(cx.digest);
     let sent = exec::timeout(left, local.pool.send(local.address, req)).await;
     let (res, connection) = match sent {
         Some(Ok(answered)) => answered,
@@ -130,6 +131,7 @@
             return not_run(&d, &cx, "unreached", UNREACHED_WAIT, started, &local);
         }
         Some(Err(err)) => {
+            ended::after_break(&d, &local).await;
             pass.end(End::Failed, d.clock.now());
             log::warn!("call {}: upstream {}: {err}", cx.request_id, cx.instance);
             return unknown(&d, &cx, StatusCode::BAD_GATEWAY, "upstream-broke", started, &local);
@@ -219,7 +221,7 @@
             observe_size(d, cx, buf.len() as u64);
             body::full(buf)
         }
-        Ok(Payload::Streamed(body)) => {
+        Ok(Payload::Streamed(body, _)) => {
             observe_size(d, cx, HELD_BYTES as u64);
             body.unwrap_or_else(body::empty)
         }
@@ -365,6 +367,7 @@
         &Admit {
             kind: "admit",
             request: &cx.request_id,
+            digest: cx.digest.to_string(),
             version: cx.version,
             upstream: &cx.instance,
             result,
--- a/src/daemon/request/mod.rs
+++ b/src/daemon/request/mod.rs
@@ -5,11 +5,12 @@
 //! the daemon on that upstream's host, as often as the route and the budget allow. There, [`exit`]
 //! admits it and sends it to the upstream. The answer comes back through
 //! [`answer`]. Large answers leave by the host's link in turn, see
-//! [`paced`]. [`headers`], [`payload`] and [`tracked`] are the parts that all of
+//! [`paced`]. [`headers`], [`payload`], [`digest`] and [`tracked`] are the parts that all of
 //! them use, [`story`] the lines that the log gets.
 
 pub mod answer;
 pub mod attempts;
+pub mod digest;
 pub mod entry;
 pub mod exit;
 pub mod headers;
--- a/src/daemon/request/payload.rs
+++ b/src/daemon/request/payload.rs
@@ -15,8 +15,8 @@
 pub enum Payload {
     /// Held whole: can be sent again.
     Held(Bytes),
-    /// Streamed: can be sent once.
-    Streamed(Option<Body>),
+    /// Streamed: can be sent once. What was read of it already is there until taken.
+    Streamed(Option<Body>, Bytes),
 }
 
 /// Reads a body of at most `most` bytes as far as it is held, and readies the
@@ -43,7 +43,9 @@
         }
         if held.len() > held_most {
             let left = usize::try_from(most - held.len() as u64).unwrap_or(usize::MAX);
-            return Ok(Payload::Streamed(Some(streamed(held.freeze(), incoming, size, left))));
+            let begun = held.freeze();
+            let body = streamed(begun.clone(), incoming, size, left);
+            return Ok(Payload::Streamed(Some(body), begun));
         }
     }
     Ok(Payload::Held(held.freeze()))
@@ -93,7 +95,16 @@
 impl Payload {
     /// Returns whether the body can still be sent.
     pub fn is_left(&self) -> bool {
-        !matches!(self, Payload::Streamed(None))
+        !matches!(self, Payload::Streamed(None, _))
+    }
+
+    /// Returns what is known of the body before it is sent: all of it, or the beginning
+    /// of one that is streamed, which is then let go.
+    pub fn take_begun(&mut self) -> Bytes {
+        match self {
+            Payload::Held(buf) => buf.clone(),
+            Payload::Streamed(_, begun) => std::mem::take(begun),
+        }
     }
 
     /// Returns the body to send, or `None` where it was streamed before.
@@ -101,7 +112,7 @@
         match self {
             Payload::Held(buf) if buf.is_empty() => Some(body::empty()),
             Payload::Held(buf) => Some(body::full(buf.clone())),
-            Payload::Streamed(body) => body.take(),
+            Payload::Streamed(body, _) => body.take(),
         }
     }
 }
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -197,6 +197,7 @@
     let ms = |time: Duration| time.as_millis().min(u128::from(u32::MAX)) as u32;
     Context {
         request_id: work.request_id.clone(),
+        digest: work.digest,
         instance: target.instance.clone(),
         deadline_ms: ms(left),
         objective_ms: ms(work.objective.saturating_duration_since(now)),
--- a/src/daemon/request/story.rs
+++ b/src/daemon/request/story.rs
@@ -13,6 +13,8 @@
     pub kind: &'static str,
     /// The request's id.
     pub request: &'a str,
+    /// Names what it asks for, the same for each try of its caller.
+    pub digest: String,
     /// Version of the configuration that routed it.
     pub version: u64,
     /// The service chosen from.
@@ -84,6 +86,8 @@
     pub kind: &'static str,
     /// The request's id.
     pub request: &'a str,
+    /// Names what it asks for, the same for each try of its caller.
+    pub digest: String,
     /// Version of the configuration that routed it.
     pub version: u64,
     /// The instance.
