--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -1,5 +1,9 @@
 //! An instance on the users' platform: heartbeats, identity, and ways to fail.
+//!
+//! A request whose path has [`GUILTY`] in it ends the instance while it runs, as a
+//! fault of its program would; it is back, as another one, after [`DOWN_FOR`].
 
+use super::front::Front;
 use crate::upstream::Ledger;
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::client::Pool;
@@ -11,7 +15,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between two heartbeats.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(200);
@@ -20,6 +24,20 @@
 /// Size of the answers under paths that end in `/large`.
 pub const LARGE_BYTES: usize = 240_000;
 
+/// Part of the paths of requests that end the instance which runs them.
+pub const GUILTY: &str = "guilty";
+/// How long an instance is away after such a request.
+pub const DOWN_FOR: Duration = Duration::from_millis(400);
+
+/// A run of a request that ends instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fatal {
+    /// What was asked for.
+    pub path: String,
+    /// When it reached the instance.
+    pub at: Instant,
+}
+
 /// How an instance answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Manner {
@@ -49,6 +67,10 @@
     ledger: Ledger,
     seen: Mutex<Vec<(String, String)>>,
     abandoned: Mutex<Vec<String>>,
+    front: Front,
+    fatal: Mutex<Vec<Fatal>>,
+    /// How often it ended.
+    ends: AtomicU64,
 }
 
 /// A running instance.
@@ -70,7 +92,9 @@
     /// Panics if the system refuses a port.
     pub fn start(id: &str, service: &str, control: SocketAddr, ledger: Ledger) -> Arc<Instance> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
-        let addr = listener.get_ref().local_addr().expect("a bound socket has an address");
+        let server = listener.get_ref().local_addr().expect("a bound socket has an address");
+        let front = Front::start(server);
+        let addr = front.addr;
         let shared = Arc::new(Shared {
             id: Mutex::new(id.to_string()),
             manner: Mutex::default(),
@@ -83,6 +107,9 @@
             ledger,
             seen: Mutex::default(),
             abandoned: Mutex::default(),
+            front,
+            fatal: Mutex::default(),
+            ends: AtomicU64::new(0),
         });
         let (stop, stopped) = server::stop_pair();
         let serving = shared.clone();
@@ -195,6 +222,16 @@
         lock(&self.shared.abandoned).clone()
     }
 
+    /// Returns the runs of requests that end instances, here.
+    pub fn fatal(&self) -> Vec<Fatal> {
+        lock(&self.shared.fatal).clone()
+    }
+
+    /// Ends without a word, and is back as another instance after [`DOWN_FOR`].
+    pub fn end(&self) {
+        self.shared.end();
+    }
+
     /// Returns the callers' services and deadlines that it saw.
     pub fn seen(&self) -> Vec<(String, String)> {
         lock(&self.shared.seen).clone()
@@ -212,6 +249,27 @@
     }
 }
 
+impl Shared {
+    /// Ends like a process: no further heartbeat, its port and connections closed.
+    fn end(self: &Arc<Self>) {
+        if !std::mem::replace(&mut *lock(&self.beats), false) {
+            return;
+        }
+        self.front.end();
+        let ends = self.ends.fetch_add(1, Ordering::Relaxed) + 1;
+        let shared = self.clone();
+        exec::spawn(async move {
+            smol::Timer::after(DOWN_FOR).await;
+            let id = lock(&shared.id).split('.').next().unwrap_or_default().to_string();
+            *lock(&shared.id) = format!("{id}.{ends}");
+            shared.sequence.store(0, Ordering::Relaxed);
+            shared.front.listen_again();
+            *lock(&shared.beats) = true;
+        })
+        .detach();
+    }
+}
+
 /// A run in progress; dropped before its end when its connection closes.
 struct Run {
     shared: Arc<Shared>,
@@ -254,6 +312,14 @@
     let body = body::read(incoming, MOST).await.unwrap_or_default();
     shared.ledger.ran(&id);
     let work = *lock(&shared.work);
+    if head.uri.path().contains(GUILTY) {
+        let path = head.uri.path().to_string();
+        lock(&shared.fatal).push(Fatal { path, at: Instant::now() });
+        smol::Timer::after(work).await;
+        // By itself, since its end drops the connection and with it this run.
+        exec::spawn(async move { shared.end() }).detach();
+        return std::future::pending().await;
+    }
     let run = Run { shared: shared.clone(), id: id.clone(), ended: false };
     smol::Timer::after(work).await;
     run.end();
--- a/crates/testkit/src/hosted/mod.rs
+++ b/crates/testkit/src/hosted/mod.rs
@@ -2,5 +2,6 @@
 //! the settings that it would render.
 
 pub mod fleet;
+pub mod front;
 pub mod instance;
 pub mod store;
