Send a call under which upstreams ended to none, and let every daemon know

Cause: a call is known by its id. A caller that asks again gets a new one and may come to any host, so that every limit of attempts starts anew at each daemon with each try, and what ends the upstream that runs it is sent on for ever. Change: calls at an upstream that ended are suspected by a digest of their contents; two ends of different upstreams and no good run quarantine the call for ten minutes, at the entry and again at the moment of the send. Daemons tell each other at once, compare summaries on probes, and keep quarantines in the store. An upstream found ended is taken away at once.

--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -123,6 +123,8 @@
     QueueFull { retry_after: Duration },
     /// Its large answer would leave the host too late.
     LinkBusy { retry_after: Duration },
+    /// It ends the upstreams that run it.
+    Quarantined { retry_after: Duration },
 }
 
 impl Refusal {
@@ -132,7 +134,8 @@
             Refusal::Busy { retry_after }
             | Refusal::Full { retry_after }
             | Refusal::QueueFull { retry_after }
-            | Refusal::LinkBusy { retry_after } => *retry_after,
+            | Refusal::LinkBusy { retry_after }
+            | Refusal::Quarantined { retry_after } => *retry_after,
             Refusal::TooLate | Refusal::Draining | Refusal::Gone => MIN_RETRY_AFTER,
         }
     }
@@ -148,6 +151,7 @@
             Refusal::Gone => "gone",
             Refusal::QueueFull { .. } => "queue-full",
             Refusal::LinkBusy { .. } => "link-busy",
+            Refusal::Quarantined { .. } => "quarantined",
         })
     }
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -28,6 +28,10 @@
 pub const UNKNOWN: &str = "unknown";
 /// Why, in one word, on refusals.
 pub const REASON: &str = "cicadashift-reason";
+/// Value of [`REASON`]: the upstream ended while it ran the call.
+pub const UPSTREAM_ENDED: &str = "upstream-ended";
+/// Value of [`REASON`]: the call ends the upstreams that run it.
+pub const QUARANTINED: &str = "quarantined";
 /// Milliseconds after which to come back; finer than `Retry-After`.
 pub const RETRY_AFTER_MS: &str = "cicadashift-retry-after-ms";
 /// On answers between daemons: calls now at the upstream and waiting for it.
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,6 +4,7 @@
 use crate::seal::MeshKey;
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_core::membership::record::Record;
+use cicadashift_core::request::suspects::Suspicion;
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram sent or taken in, in bytes.
@@ -26,6 +27,10 @@
     pub digest: u64,
     /// News that rides along.
     pub records: Vec<Record>,
+    /// Summary of the calls that the sender suspects of ending upstreams.
+    pub suspects: u64,
+    /// News of such calls.
+    pub suspicions: Vec<Suspicion>,
 }
 
 /// What a datagram is for.
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -6,6 +6,7 @@
 use cicadashift_core::ids::{HostKey, Incarnation, ObjectHash, Version};
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::membership::table::JournalPos;
+use cicadashift_core::request::suspects::Suspicion;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -77,6 +78,8 @@
     Status,
     /// Add these rows to the delivery record.
     Record { rows: Vec<RecordRow> },
+    /// These calls are suspected here of ending upstreams; which are there?
+    Suspicions(Vec<Suspicion>),
 }
 
 /// How one host fared with an offer or activation.
@@ -116,6 +119,8 @@
     Document(Option<Update>),
     /// To `Status`, as JSON, since it goes on to people.
     Status(String),
+    /// To `Suspicions`: all of them.
+    Suspicions(Vec<Suspicion>),
     /// Nothing to say.
     Done,
     /// Cannot be answered, and why.
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -13,7 +13,16 @@
 
 fn datagram(digest: u64) -> Datagram {
     let kind = Kind::PingFor { target: HostKey(digest) };
-    Datagram { from: HostKey(1), kind, active: 7, follows: true, digest, records: Vec::new() }
+    Datagram {
+        from: HostKey(1),
+        kind,
+        active: 7,
+        follows: true,
+        digest,
+        records: Vec::new(),
+        suspects: 0,
+        suspicions: Vec::new(),
+    }
 }
 
 proptest! {
--- a/crates/wire/tests/mutations.rs
+++ b/crates/wire/tests/mutations.rs
@@ -44,7 +44,16 @@
 fn datagram() -> Datagram {
     let records = vec![record("b"), record("c")];
     let kind = Kind::News;
-    Datagram { from: HostKey::of("b"), kind, active: 12, follows: true, digest: 99, records }
+    Datagram {
+        from: HostKey::of("b"),
+        kind,
+        active: 12,
+        follows: true,
+        digest: 99,
+        records,
+        suspects: 7,
+        suspicions: Vec::new(),
+    }
 }
 
 /// Changes, drops, doubles or inserts a few bytes.
--- a/src/daemon/ended.rs
+++ b/src/daemon/ended.rs
@@ -10,8 +10,9 @@
 //! An upstream whose host ends with it is not seen here, since this daemon ends too. One
 //! that ends after its answers have left leaves no call behind that could be named.
 
-use super::Daemon;
 use super::gates::Local;
+use super::{Daemon, quarantine};
+use cicadashift_core::ids::CallDigest;
 use cicadashift_http::exec;
 use smol::Async;
 use std::io::ErrorKind;
@@ -68,13 +69,19 @@
 }
 
 /// Finds out whether an upstream ended when a call at it broke; to be called before the
-/// call is taken off those at work there. Logs what was at it once.
-pub async fn after_break(d: &Daemon, local: &Arc<Local>) -> bool {
+/// call is taken off those at work there. The first call that finds it ended takes it
+/// away and lets all of them be suspected.
+pub async fn after_break(d: &Arc<Daemon>, local: &Arc<Local>, call: CallDigest) -> bool {
     let _counted = Breaking::new(&local.end_check.breaking);
-    find(d, local).await
+    let has_ended = find(d, local).await;
+    if has_ended {
+        // One whose answer broke off half-way is at work no more.
+        quarantine::ended(d, &local.name, &[call]);
+    }
+    has_ended
 }
 
-async fn find(d: &Daemon, local: &Arc<Local>) -> bool {
+async fn find(d: &Arc<Daemon>, local: &Arc<Local>) -> bool {
     // The first call asks, the others wait here for what it finds.
     let mut found = local.end_check.found.lock().await;
     match *found {
@@ -92,9 +99,12 @@
     let names: Vec<String> = calls.iter().map(|call| call.to_string()).collect();
     d.metrics.incr("upstream.ended");
     log::warn!("upstream {} ended, {} calls at it: {}", local.name, names.len(), names.join(" "));
+    quarantine::ended(d, &local.name, &calls);
+    d.gates.lose(d, &local.name);
     true
 }
 
+/// Returns whether an upstream ended, a moment after a call at it broke.
 async fn is_over(local: &Local) -> bool {
     smol::Timer::after(SETTLE).await;
     let breaking = local.end_check.breaking.load(Ordering::Relaxed);
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -159,13 +159,18 @@
             local.pool.sweep();
             if local.tick(now) {
                 log::warn!("upstream {name} is taken for gone: no reports and no connection");
-                d.metrics.incr("upstream.lost");
-                let removed = lock(&self.inner).by_name.remove(&name);
-                removed.iter().for_each(|local| local.drain());
-                self.publish(d);
+                self.lose(d, &name);
             }
         }
     }
+
+    /// Takes away an upstream that went without a word.
+    pub fn lose(&self, d: &Daemon, name: &str) {
+        d.metrics.incr("upstream.lost");
+        let removed = lock(&self.inner).by_name.remove(name);
+        removed.iter().for_each(|local| local.drain());
+        self.publish(d);
+    }
 }
 
 impl Inner {
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -1,12 +1,13 @@
 //! Probes and gossip over UDP.
 
 use super::costs::Purpose;
-use super::{Daemon, catch_up, liveness, source};
+use super::{Daemon, catch_up, liveness, quarantine, source};
 use crate::settings::InterfaceKind;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::detector::Probe;
 use cicadashift_core::membership::gossip::RECORDS_PER_DATAGRAM;
 use cicadashift_core::membership::record::{Health, Record};
+use cicadashift_core::request::suspects::Suspicion;
 use cicadashift_http::exec;
 use cicadashift_wire::datagram::{Datagram, Kind, MAX_DATAGRAM};
 use std::net::SocketAddr;
@@ -85,6 +86,13 @@
     send(d, host, Kind::News, Vec::new()).await;
 }
 
+/// Tells a member of calls that are suspected of ending upstreams.
+pub async fn tell_suspicions(d: &Daemon, host: HostKey, suspicions: Vec<Suspicion>) {
+    if let Some(to) = d.members.address(host) {
+        send_news(d, (host, to), Kind::News, News { suspicions, ..News::default() }).await;
+    }
+}
+
 /// Takes datagrams in until cancelled.
 pub async fn receive(d: Arc<Daemon>) {
     let mut buf = vec![0; MAX_DATAGRAM + 1];
@@ -154,8 +162,10 @@
     from: SocketAddr,
     differences: &mut Differences,
 ) {
-    let Datagram { from: host, kind, active, follows, digest, records } = datagram;
+    let Datagram { from: host, kind, active, follows, digest, records, suspects, suspicions } =
+        datagram;
     liveness::heard(d, host);
+    quarantine::heard(d, &suspicions);
     if follows {
         d.versions.document.cover(host, active, d.clock.now());
     }
@@ -198,6 +208,9 @@
     }
     if matches!(kind, Kind::Ping | Kind::Ack) {
         compare(d, digest, from, differences);
+        if suspects != quarantine::summary(d) {
+            quarantine::differs(d, from);
+        }
     }
 }
 
@@ -244,8 +257,25 @@
     }
 }
 
-async fn send_to(d: &Daemon, (host, to): (HostKey, SocketAddr), kind: Kind, records: Vec<Record>) {
-    let purpose = match (kind, records.is_empty()) {
+async fn send_to(d: &Daemon, to: (HostKey, SocketAddr), kind: Kind, records: Vec<Record>) {
+    send_news(d, to, kind, News { records, ..News::default() }).await;
+}
+
+/// What rides along with a datagram.
+#[derive(Default)]
+struct News {
+    records: Vec<Record>,
+    suspicions: Vec<Suspicion>,
+}
+
+impl News {
+    fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.suspicions.is_empty()
+    }
+}
+
+async fn send_news(d: &Daemon, (host, to): (HostKey, SocketAddr), kind: Kind, news: News) {
+    let purpose = match (kind, news.is_empty()) {
         (Kind::News, true) => Purpose::Heartbeat,
         (Kind::News, false) => Purpose::News,
         _ => Purpose::Probe,
@@ -256,7 +286,9 @@
         active: d.versions.active_version(),
         follows: d.follows.load(Ordering::Relaxed),
         digest: d.members.digest(),
-        records,
+        records: news.records,
+        suspects: quarantine::summary(d),
+        suspicions: news.suspicions,
     };
     let buf = datagram.encode(&d.key);
     d.costs.add(purpose, d.members.is_far(host), buf.len() + UDP_HEAD);
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -4,11 +4,11 @@
 use crate::settings::{InterfaceKind, Settings};
 use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::membership::detector::{Detector, Probe};
-use cicadashift_core::membership::gossip::{Audience, BRIDGES, Queue};
+use cicadashift_core::membership::gossip::{Audience, BRIDGES, GOSSIP_FANOUT, Queue};
 use cicadashift_core::membership::record::{Endpoint, Health, Record};
 use cicadashift_core::membership::table::{Applied, Comparison, JournalPos, Table};
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -26,6 +26,10 @@
 /// cost it little, and rely on nobody.
 const ALL_FOLLOW: usize = 4;
 
+/// Other daemons up to which urgent news go to all of them at once: a few kilobytes, and
+/// nobody has to pass them on.
+const FEW: usize = 16;
+
 /// Returns the two followers that a member hears heartbeats of; the first is the one
 /// that it asks for changes.
 pub fn followers_of(followers: &[HostKey], member: HostKey) -> [Option<HostKey>; 2] {
@@ -204,6 +208,29 @@
         audience.draw(|most| fastrand::usize(..most.max(1)))
     }
 
+    /// Returns whom news go to that every daemon is to have within milliseconds: all
+    /// others where they are few, or else some of the own failure domain and one of each
+    /// other, who do the same.
+    pub fn audience_at_once(&self) -> Vec<HostKey> {
+        let inner = lock(&self.inner);
+        let mut all = inner.others(self.me, None);
+        if all.len() <= FEW {
+            return all;
+        }
+        fastrand::shuffle(&mut all);
+        let domain_of = |host: &HostKey| inner.table.get(*host).map(|record| &record.domain);
+        let mut taken: BTreeMap<&String, usize> = BTreeMap::new();
+        let mut is_taken = |host: &HostKey| {
+            let Some(domain) = domain_of(host) else { return false };
+            let most = if *domain == self.domain { GOSSIP_FANOUT } else { 1 };
+            let count = taken.entry(domain).or_default();
+            *count += 1;
+            *count <= most
+        };
+        all.retain(&mut is_taken);
+        all
+    }
+
     /// Returns the records for one round of gossip.
     pub fn take_round(&self) -> Vec<Record> {
         lock(&self.inner).queue.take_round()
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -2,7 +2,7 @@
 
 use super::costs::Purpose;
 use super::request::{exit, headers, paced};
-use super::{Daemon, catch_up, gateway, reader, rollout, stage, status};
+use super::{Daemon, catch_up, gateway, quarantine, reader, rollout, stage, status};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::witness::Testimony;
 use cicadashift_http::body::{self, Body, BodyError};
@@ -141,6 +141,10 @@
         Ask::Current => Response::Version(d.versions.active()),
         Ask::Document { held } => Response::Document(d.versions.document.update_for(held)),
         Ask::Status => Response::Status(status::own(d).to_string()),
+        Ask::Suspicions(told) => {
+            quarantine::heard(d, &told);
+            Response::Suspicions(quarantine::all(d))
+        }
         Ask::Record { rows } => {
             d.record.add(rows);
             Response::Done
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -23,6 +23,7 @@
 pub mod liveness;
 pub mod members;
 pub mod mesh;
+pub mod quarantine;
 pub mod reader;
 pub mod readiness;
 pub mod record;
@@ -119,6 +120,8 @@
     pub liveness: liveness::Liveness,
     /// Callers that were sent away.
     pub callers: callers::Callers,
+    /// Calls that end the upstreams which run them.
+    pub quarantine: quarantine::Quarantine,
     /// Upstreams as chosen from here.
     pub services: services::Services,
     /// Upstreams on this host.
@@ -276,6 +279,7 @@
         exec::spawn(gates::run(d.clone())),
         exec::spawn(tunable::run(d.clone(), changes)),
         exec::spawn(costs::run(d.clone())),
+        exec::spawn(quarantine::run(d.clone())),
     ];
     match d.settings.interface {
         InterfaceKind::Own => background.extend([
@@ -326,6 +330,7 @@
             members: members::Members::new(&settings, me, life, ports.mesh, clock.now()),
             liveness: liveness::Liveness::default(),
             callers: callers::Callers::default(),
+            quarantine: quarantine::Quarantine::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(),
             link: settings.link_mbps.map(|mbps| Mutex::new(Link::new(mbps))),
--- /dev/null
+++ b/src/daemon/quarantine.rs
@@ -0,0 +1,194 @@
+//! What all daemons together know of calls that end the upstreams which run them.
+//!
+//! [`cicadashift_core::request::suspects`] decides. Here its news go to the others at
+//! once, in datagrams; probes carry a summary, and where two daemons' differ they compare
+//! all that they know. A quarantine also lies in the store until it is over, so that it
+//! outlives a restart of everything; each daemon reads them once after its start.
+//!
+//! Bytes told grow with the ends of upstreams, not with calls: some 60 for each call that
+//! was at one, to seven daemons from each that hears it first.
+
+use super::{Daemon, gossip, lock, mesh};
+use crate::store::{Platform, PlatformError, Swap, keys};
+use cicadashift_core::ids::{CallDigest, StartKey};
+use cicadashift_core::request::suspects::{Standing, Suspects, Suspicion};
+use cicadashift_http::exec;
+use cicadashift_wire::rpc::{self, Request as Ask, Response};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// When news are told, counted from when they are heard: again after a moment, since
+/// datagrams are lost. A call may come to every host at the same time, so that each
+/// millisecond counts.
+const TELL_AT: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(30), Duration::from_millis(150)];
+/// Suspicions in one datagram; at about 60 bytes each they stay under a usual MTU.
+const PER_DATAGRAM: usize = 16;
+/// Time between two comparisons that differing summaries lead to.
+const COMPARE_EVERY: Duration = Duration::from_millis(400);
+/// Time for one comparison.
+const COMPARE_TIME: Duration = Duration::from_millis(500);
+/// Time between two looks at what has to be kept or forgotten.
+const LOOK: Duration = Duration::from_millis(500);
+/// How long the store keeps a quarantine without a daemon: as long as it lasts.
+const KEPT_FOR: Duration = cicadashift_core::request::suspects::QUARANTINE;
+
+/// What this daemon knows.
+#[derive(Default)]
+pub struct Quarantine {
+    suspects: Mutex<Suspects>,
+    /// When it last compared all that it knows with another daemon.
+    compared: Mutex<Option<Instant>>,
+}
+
+/// Returns what is known against a call.
+pub fn standing(d: &Daemon, call: CallDigest) -> Standing {
+    lock(&d.quarantine.suspects).standing(call, d.clock.now())
+}
+
+/// Takes in that an upstream ended with these calls at it.
+pub fn ended(d: &Arc<Daemon>, upstream: &str, calls: &[CallDigest]) {
+    let now = d.clock.now();
+    let news = lock(&d.quarantine.suspects).ended(StartKey::of(upstream), calls, now);
+    take_in(d, news);
+}
+
+/// Takes in that an upstream ran a call and answered.
+pub fn ran_well(d: &Arc<Daemon>, call: CallDigest) {
+    let news = lock(&d.quarantine.suspects).ran_well(call, d.clock.now());
+    take_in(d, news.into_iter().collect());
+}
+
+/// Takes in what another daemon told.
+pub fn heard(d: &Arc<Daemon>, told: &[Suspicion]) {
+    if told.is_empty() {
+        return;
+    }
+    let news = lock(&d.quarantine.suspects).take(told, d.clock.now());
+    take_in(d, news);
+}
+
+/// Takes the suspicion from a call; returns whether there was one.
+pub fn lift(d: &Arc<Daemon>, call: CallDigest) -> bool {
+    let news = lock(&d.quarantine.suspects).clear(call, d.clock.now());
+    let was_known = news.is_some();
+    take_in(d, news.into_iter().collect());
+    was_known
+}
+
+/// Returns all that is known, for other daemons and for operators.
+pub fn all(d: &Daemon) -> Vec<Suspicion> {
+    lock(&d.quarantine.suspects).all(d.clock.now())
+}
+
+/// Returns a number that is the same at daemons that know the same.
+pub fn summary(d: &Daemon) -> u64 {
+    lock(&d.quarantine.suspects).summary(d.clock.now())
+}
+
+/// Compares with a daemon whose summary differs, unless that was done a moment ago.
+pub fn differs(d: &Arc<Daemon>, to: SocketAddr) {
+    let now = d.clock.now();
+    let mut compared = lock(&d.quarantine.compared);
+    if compared.is_some_and(|at| now < at + COMPARE_EVERY) {
+        return;
+    }
+    *compared = Some(now);
+    let d = d.clone();
+    exec::spawn(async move { compare_with(&d, to).await }).detach();
+}
+
+/// Tells a daemon all that is known and hears what it knows.
+pub async fn compare_with(d: &Arc<Daemon>, to: SocketAddr) {
+    let ask = Ask::Suspicions(all(d));
+    match mesh::ask(d, to, &ask, COMPARE_TIME).await {
+        Ok(Response::Suspicions(told)) => heard(d, &told),
+        Ok(_) => log::debug!("{to} does not say which calls it suspects"),
+        Err(err) => log::debug!("{to} was not asked which calls it suspects: {err}"),
+    }
+}
+
+/// Reads the quarantines that the store keeps, then keeps this daemon's there and
+/// forgets old ones, until cancelled.
+pub async fn run(d: Arc<Daemon>) {
+    let mut is_read = false;
+    let mut is_lost = false;
+    loop {
+        let result = round(&d, &mut is_read).await;
+        if let (Err(err), false) = (&result, is_lost) {
+            log::warn!("quarantine: the store is lost: {err}");
+        }
+        is_lost = result.is_err();
+        smol::Timer::after(LOOK).await;
+    }
+}
+
+async fn round(d: &Arc<Daemon>, is_read: &mut bool) -> Result<(), PlatformError> {
+    lock(&d.quarantine.suspects).sweep(d.clock.now());
+    if !*is_read {
+        read(d).await?;
+        *is_read = true;
+    }
+    let unsaved = lock(&d.quarantine.suspects).unsaved(d.clock.now());
+    for suspicion in unsaved {
+        save(d, &suspicion).await?;
+        lock(&d.quarantine.suspects).saved(&suspicion);
+    }
+    Ok(())
+}
+
+async fn read(d: &Arc<Daemon>) -> Result<(), PlatformError> {
+    let pairs = d.platform.list(keys::QUARANTINE, false).await?;
+    let decoded = pairs.iter().filter_map(|pair| {
+        let suspicion = rpc::decode::<Suspicion>(&pair.value);
+        suspicion.inspect_err(|err| log::warn!("{} is damaged: {err}", pair.key)).ok()
+    });
+    let told: Vec<_> = decoded.collect();
+    heard(d, &told);
+    Ok(())
+}
+
+async fn save(d: &Daemon, suspicion: &Suspicion) -> Result<(), PlatformError> {
+    let lease = d.platform.grant(KEPT_FOR).await?;
+    let key = keys::quarantine(suspicion.call);
+    match d.platform.put_leased(&key, &rpc::encode(suspicion), lease).await? {
+        Swap::Done => Ok(()),
+        Swap::Lost => Err(PlatformError::NotDone("the lease has ended".to_string())),
+    }
+}
+
+/// Logs news and tells them to others.
+fn take_in(d: &Arc<Daemon>, news: Vec<Suspicion>) {
+    if news.is_empty() {
+        return;
+    }
+    for suspicion in &news {
+        let Suspicion { call, ended, .. } = suspicion;
+        match standing(d, *call) {
+            Standing::Quarantined { left } => {
+                d.metrics.incr("quarantine.judged");
+                let (ends, left) = (ended.len(), left.as_secs());
+                log::warn!("call {call} is quarantined for {left} s: {ends} upstreams ended");
+            }
+            Standing::Clear => log::info!("call {call} is cleared"),
+            Standing::Suspected => log::debug!("call {call} is suspected"),
+        }
+    }
+    let d = d.clone();
+    exec::spawn(async move { tell(&d, &news).await }).detach();
+}
+
+async fn tell(d: &Daemon, news: &[Suspicion]) {
+    let mut passed = Duration::ZERO;
+    for at in TELL_AT {
+        smol::Timer::after(at.saturating_sub(passed)).await;
+        passed = at;
+        let audience = d.members.audience_at_once();
+        for part in news.chunks(PER_DATAGRAM) {
+            for host in &audience {
+                gossip::tell_suspicions(d, *host, part.to_vec()).await;
+            }
+        }
+    }
+}
--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -99,7 +99,9 @@
 
 /// Returns one of our reasons; text from the network goes no further.
 fn known_reason(text: Option<&str>) -> &'static str {
-    const REASONS: [&str; 16] = [
+    const REASONS: [&str; 18] = [
+        call::UPSTREAM_ENDED,
+        call::QUARANTINED,
         "truncated",
         "busy",
         "full",
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -11,17 +11,19 @@
 use super::send::{Patience, send};
 use super::story::{Choose, Missed};
 use crate::daemon::services::Target;
-use crate::daemon::{Daemon, liveness};
+use crate::daemon::{Daemon, liveness, quarantine};
 use cicadashift_core::config::Route;
 use cicadashift_core::ids::CallDigest;
 use cicadashift_core::request::MIN_RETRY_AFTER;
 use cicadashift_core::request::choose::{Demand, Reason, UpstreamKey};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::{Attempt, Call, Verdict};
+use cicadashift_core::request::suspects::Standing;
 use cicadashift_http::ahead::Turn;
 use cicadashift_http::body::Body;
 use cicadashift_http::hyper::Response;
 use cicadashift_http::hyper::http::request::Parts;
+use cicadashift_wire::call;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -183,6 +185,10 @@
             let (reason, wait) = so_far.last_refusal.unwrap_or(("too-late", MIN_RETRY_AFTER));
             return give_up(d, &work, so_far, reason, wait);
         }
+        if let Standing::Quarantined { left } = quarantine::standing(d, work.digest) {
+            d.metrics.incr("call.quarantined");
+            return give_up(d, &work, so_far, call::QUARANTINED, left);
+        }
         let target = match d.services.choose(&work.service, work.demand(now), now, &so_far.tried) {
             Ok(target) => target,
             Err(_) if so_far.back_to_full() => continue,
@@ -211,6 +217,11 @@
             so_far.links_busy += 1;
         }
         so_far.missed(attempt, reason);
+        if let (Attempt::NotRun { retry_after, .. }, call::QUARANTINED) = (attempt, reason) {
+            // This daemon has not heard of it yet; another host would run it.
+            d.metrics.incr("call.quarantined");
+            return give_up(d, &work, so_far, reason, retry_after);
+        }
         let verdict = decide(d, &work, &payload, &so_far, attempt, may_have_run);
         log_missed(d, &work, &target, attempt, reason, verdict, now);
         match verdict {
@@ -269,7 +280,10 @@
         false => Patience { slot: Duration::MAX, ..so_far.patience(target) },
     };
     let mut first = Box::pin(send(d, work, target, body, patience));
-    let may_double = work.repeatable && payload.is_left() && so_far.arrivals + 1 < work.allowed;
+    // A suspected call is not sent to two upstreams at once.
+    let is_clear = quarantine::standing(d, work.digest) == Standing::Clear;
+    let may_double =
+        is_clear && work.repeatable && payload.is_left() && so_far.arrivals + 1 < work.allowed;
     let why = match race(first.as_mut(), late(d, work, target, may_double)).await {
         Raced::First(got) => return got,
         Raced::Second(why) => why,
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -6,10 +6,11 @@
 use super::story::Admit;
 use super::tracked::{Counted, Tracked};
 use crate::daemon::gates::{Local, Pass};
-use crate::daemon::{Daemon, ended, lock};
+use crate::daemon::{Daemon, ended, lock, quarantine};
 use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
 use cicadashift_core::request::link::Large;
 use cicadashift_core::request::spread;
+use cicadashift_core::request::suspects::Standing;
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::client::{Connection, IDLE_TIME};
 use cicadashift_http::exec;
@@ -53,6 +54,9 @@
     let Some(local) = d.gates.get(&cx.instance) else {
         return refuse(&d, &cx, Refusal::Gone, arrived, None);
     };
+    if let Some(refusal) = quarantined(&d, &cx) {
+        return refuse(&d, &cx, refusal, arrived, Some(&local));
+    }
     let kind = KindKey(cx.call_kind);
     let objective = Duration::from_millis(u64::from(cx.objective_ms));
     let on_link = match (origin, time_on_link(&d, &cx, local.time_of(kind), arrived)) {
@@ -84,6 +88,10 @@
     if now >= deadline {
         return refuse(&d, &cx, Refusal::TooLate, arrived, Some(&local));
     }
+    // While it waited other upstreams may have ended under it.
+    if let Some(refusal) = quarantined(&d, &cx) {
+        return refuse(&d, &cx, refusal, arrived, Some(&local));
+    }
     log_admit(&d, &cx, "run", arrived, Some(&local));
     let expected = Expected::new(&d, kind);
     let res = forward(d, cx, req, local, pass, deadline).await;
@@ -91,6 +99,16 @@
     res
 }
 
+/// Returns the refusal of a call that ends upstreams.
+///
+/// Its entry daemon asks too; only this one can be sure of the moment of the send.
+fn quarantined(d: &Daemon, cx: &Context) -> Option<Refusal> {
+    match quarantine::standing(d, cx.digest) {
+        Standing::Quarantined { left } => Some(Refusal::Quarantined { retry_after: left }),
+        Standing::Suspected | Standing::Clear => None,
+    }
+}
+
 /// Returns how long a call's answer will take on the host's link.
 ///
 /// # Errors
@@ -131,10 +149,11 @@
             return not_run(&d, &cx, "unreached", UNREACHED_WAIT, started, &local);
         }
         Some(Err(err)) => {
-            ended::after_break(&d, &local).await;
+            let has_ended = ended::after_break(&d, &local, cx.digest).await;
             pass.end(End::Failed, d.clock.now());
             log::warn!("call {}: upstream {}: {err}", cx.request_id, cx.instance);
-            return unknown(&d, &cx, StatusCode::BAD_GATEWAY, "upstream-broke", started, &local);
+            let reason = if has_ended { call::UPSTREAM_ENDED } else { "upstream-broke" };
+            return unknown(&d, &cx, StatusCode::BAD_GATEWAY, reason, started, &local);
         }
         None => {
             local.silent(&d);
@@ -205,12 +224,15 @@
     tell_upstream(d, local, &mut head.headers);
     headers::set(&mut head.headers, call::SERVICE_US, &service.as_micros().to_string());
     let whole = {
-        let (d, local) = (d.clone(), local.clone());
+        let (d, local, call) = (d.clone(), local.clone(), cx.digest);
         Tracked::new(incoming, move |whole| {
             let now = d.clock.now();
             let took = now.saturating_duration_since(started);
             d.metrics.time("upstream.time", took);
             pass.end(if whole { End::Answered(took) } else { End::Failed }, now);
+            if whole {
+                quarantine::ran_well(&d, call);
+            }
             if whole && let Some(idle) = idle {
                 connection.keep(&local.pool, idle);
             }
@@ -227,7 +249,9 @@
         }
         Err(err) => {
             log::debug!("call {}: upstream {}: {err}", cx.request_id, cx.instance);
-            return unknown(d, cx, StatusCode::BAD_GATEWAY, "truncated", started, local);
+            let has_ended = ended::after_break(d, local, cx.digest).await;
+            let reason = if has_ended { call::UPSTREAM_ENDED } else { "truncated" };
+            return unknown(d, cx, StatusCode::BAD_GATEWAY, reason, started, local);
         }
     };
     let mut res = Response::from_parts(head, body);
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -6,7 +6,7 @@
 use super::{exit, headers};
 use crate::daemon::costs::Purpose;
 use crate::daemon::services::{Flight, Target};
-use crate::daemon::{Daemon, liveness};
+use crate::daemon::{Daemon, liveness, quarantine};
 use cicadashift_core::request::choose::{Outcome, Place, Told};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::Attempt;
@@ -138,6 +138,10 @@
         d.services.with(&work.service, |service| service.picker.link(key, wait, now));
     }
     if let Some((attempt, reason)) = answer::refusal(&head) {
+        if reason == call::UPSTREAM_ENDED {
+            // The news may still be under way when the next attempt is decided on.
+            quarantine::ended(d, &target.instance, &[work.digest]);
+        }
         flight.end(match attempt {
             Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
             Attempt::NotRun { .. } if reason == "link-busy" => Outcome::LinkBusy,
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -1,6 +1,6 @@
 //! Names of the platform's keys.
 
-use cicadashift_core::ids::ObjectHash;
+use cicadashift_core::ids::{CallDigest, ObjectHash};
 
 /// The one key that compare-and-swap orders versions by.
 pub const HEAD: &str = "cicadashift/head";
@@ -35,3 +35,11 @@
 pub fn daemon(host: &str) -> String {
     format!("{DAEMONS}{host}")
 }
+
+/// Prefix of the calls that are sent to no upstream, under leases.
+pub const QUARANTINE: &str = "cicadashift/quarantine/";
+
+/// Returns the key of a quarantined call.
+pub fn quarantine(call: CallDigest) -> String {
+    format!("{QUARANTINE}{call}")
+}
