--- a/crates/core/src/request/suspects.rs
+++ b/crates/core/src/request/suspects.rs
@@ -55,9 +55,9 @@
 /// Places for calls that ran well lately: at some thirty answers a second of one upstream
 /// the last half minute. A call that is pushed out may be suspected.
 const GOOD_KEPT: usize = 1024;
-/// Most calls suspected at once, about 64 KB. To fill it upstreams must end some fifty
-/// times in ten minutes.
-pub const MOST_SUSPECTED: usize = 512;
+/// Most calls suspected at once, about 150 KB. To fill it upstreams of ten slots must end
+/// a hundred times within an hour; those not yet quarantined go first.
+pub const MOST_SUSPECTED: usize = 1024;
 /// Ends kept of a call; more tell nothing new.
 const ENDS_KEPT: usize = 8;
 
--- a/src/daemon/ended.rs
+++ b/src/daemon/ended.rs
@@ -1,9 +1,9 @@
 //! Telling an upstream that ended from an answer that was lost.
 //!
 //! When an upstream ends, every call at it breaks in one moment, and nobody listens at
-//! its address until it is started again. When it loses one answer, the other calls run
-//! on, or a new connection is taken. One question after a call broke tells the two apart
-//! within milliseconds; reports would take seconds to be missed.
+//! its address until it is started again. When it loses one answer, it still takes
+//! connections. One connection after a call broke tells the two apart within
+//! milliseconds; reports would take seconds to be missed.
 //!
 //! # Limits
 //!
@@ -21,11 +21,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// Time in which the other calls at an upstream that ended are seen to break as well:
-/// their connections close in one moment, and their tasks have to be run.
-const SETTLE: Duration = Duration::from_millis(2);
-/// Time after which an address that still takes connections is asked once more: the
-/// system may close the listening socket of a process that ends after its connections.
+/// Time after which an address that still takes connections is asked once more, if no
+/// other call runs on there: the system may close the listening socket of a process that
+/// ends after its connections.
 const ASK_AGAIN: Duration = Duration::from_millis(15);
 /// Time for one connection on the own host.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
@@ -106,16 +104,12 @@
 
 /// Returns whether an upstream ended, a moment after a call at it broke.
 async fn is_over(local: &Local) -> bool {
-    smol::Timer::after(SETTLE).await;
-    let breaking = local.end_check.breaking.load(Ordering::Relaxed);
-    if local.at_work().len() > breaking && !local.is_unreached() {
-        return false;
-    }
     if is_refused(local.address).await {
         return true;
     }
     smol::Timer::after(ASK_AGAIN).await;
-    is_refused(local.address).await
+    let runs_on = local.at_work().len() > local.end_check.breaking.load(Ordering::Relaxed);
+    !runs_on && is_refused(local.address).await
 }
 
 /// Returns whether nobody listens at an address of this host.
--- a/src/daemon/gates.rs
+++ b/src/daemon/gates.rs
@@ -326,11 +326,6 @@
         lock(&self.state).unreached += 1;
     }
 
-    /// Returns whether it was not to be connected to lately.
-    pub fn is_unreached(&self) -> bool {
-        lock(&self.state).unreached > 0
-    }
-
     /// Returns whether it said that it leaves, or another one has its address.
     pub fn leaves(&self) -> bool {
         lock(&self.state).leaves
--- a/src/daemon/request/digest.rs
+++ b/src/daemon/request/digest.rs
@@ -10,7 +10,7 @@
 //! known before it is sent on. Its length does not: the same body may come in chunks.
 
 use super::headers;
-use super::payload::Payload;
+use super::payload::{MAX_HELD, Payload};
 use cicadashift_core::ids::CallDigest;
 use cicadashift_http::hyper::header;
 use cicadashift_http::hyper::http::request::Parts;
@@ -38,13 +38,15 @@
     pub fn digest(&self, key: &MeshKey, head: &Parts, payload: &mut Payload) -> CallDigest {
         let path = head.uri.path_and_query().map_or("", |path| path.as_str());
         let body = payload.take_begun();
+        // How much of a long body was read by then differs with each try.
+        let body = &body[..body.len().min(MAX_HELD)];
         key.digest(&[
             head.method.as_str().as_bytes(),
             self.host.as_bytes(),
             path.as_bytes(),
             self.caller[0].as_bytes(),
             self.caller[1].as_bytes(),
-            &body,
+            body,
         ])
     }
 }
