Let operators see and lift quarantines, and soak the daemons with the fault

Cause: a verdict can be wrong, or a release may cure the call, and nobody could see or end it before its ten minutes. Ruled out: a setting for the time; an operator who knows better knows it of one call. Change: cicadashift quarantine list and lift, the reasons in explain, a copy in the store that follows a cleared call. The soak asks at every daemon in turn for what ends instances, and ends instances without a cause. Tests with real daemons: callers at every host at once, a popular request, ends without a cause, answers that break off, a frozen and a restarted daemon, a restart of all while the store had been away.

--- a/crates/core/src/request/suspects.rs
+++ b/crates/core/src/request/suspects.rs
@@ -103,13 +103,22 @@
     until: Instant,
     /// Whether an end was seen here.
     seen_here: bool,
-    /// Whether it has to be kept where it outlives all daemons.
+    /// Whether it has to be kept where it outlives all daemons, as it is now.
     unsaved: bool,
+    /// Whether this daemon kept it there before.
+    is_kept: bool,
 }
 
 impl Row {
     fn new(until: Instant) -> Row {
-        Row { ended: Vec::new(), cleared: Vec::new(), until, seen_here: false, unsaved: false }
+        Row {
+            ended: Vec::new(),
+            cleared: Vec::new(),
+            until,
+            seen_here: false,
+            unsaved: false,
+            is_kept: false,
+        }
     }
 
     fn count(&self) -> usize {
@@ -123,7 +132,9 @@
     /// Takes it for cleared of all ends known; returns whether that is news.
     fn clear(&mut self) -> bool {
         let is_news = self.count() > 0;
-        unite(&mut self.cleared, &self.ended.clone());
+        unite(&mut self.cleared, &self.ended);
+        // What is kept would be believed again after a restart of all daemons.
+        self.unsaved |= is_news && self.is_kept;
         is_news
     }
 
@@ -203,7 +214,9 @@
             row.until = row.until.max(now + left);
             row.unsaved |= row.seen_here && row.count() >= ENDS_TO_JUDGE;
         }
-        let mut is_news = unite(&mut row.cleared, &told.cleared) || has_ended;
+        let is_cleared = unite(&mut row.cleared, &told.cleared);
+        row.unsaved |= is_cleared && row.is_kept;
+        let mut is_news = is_cleared || has_ended;
         is_news |= is_good && row.clear();
         is_news.then(|| row.told(told.call, now))
     }
@@ -235,17 +248,20 @@
         })
     }
 
-    /// Returns the quarantined calls that must outlive all daemons and are not kept yet:
-    /// those that this daemon saw an upstream end under, so that a few daemons keep each.
+    /// Returns the quarantined calls that must outlive all daemons and are not kept as
+    /// they are now: those that this daemon saw an upstream end under, so that a few
+    /// daemons keep each.
     pub fn unsaved(&self, now: Instant) -> Vec<Suspicion> {
-        let unsaved = self.rows.iter().filter(|(_, row)| row.unsaved && row.is_judged(now));
+        let is_due = |row: &Row| row.unsaved && (row.is_judged(now) || row.is_kept);
+        let unsaved = self.rows.iter().filter(|(_, row)| is_due(row));
         unsaved.map(|(call, row)| row.told(*call, now)).collect()
     }
 
     /// Takes in that a quarantined call is kept.
     pub fn saved(&mut self, kept: &Suspicion) {
         if let Some(row) = self.rows.get_mut(&kept.call) {
-            row.unsaved = row.ended != kept.ended;
+            row.is_kept = true;
+            row.unsaved = row.ended != kept.ended || row.cleared != kept.cleared;
         }
     }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -200,4 +200,10 @@
     let mut restarted = Suspects::default();
     restarted.take(&other.unsaved(now), now + ms(10));
     assert!(is_quarantined(&restarted, GUILTY, now + ms(10)));
+
+    // It is lifted at one of the others: who kept it keeps that too.
+    let lifted = heard.clear(GUILTY, now + ms(20)).expect("it was known");
+    saw.take(&[lifted], now + ms(30));
+    restarted.take(&saw.unsaved(now + ms(30)), now + ms(40));
+    assert_eq!(restarted.standing(GUILTY, now + ms(40)), Standing::Clear);
 }
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -5,13 +5,17 @@
 
 use super::front::Front;
 use crate::upstream::Ledger;
-use cicadashift_http::body::{self, Body};
+use bytes::Bytes;
+use cicadashift_http::body::{self, Body, BodyError};
 use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
+use cicadashift_http::hyper::body::Frame;
 use cicadashift_http::hyper::{Method, Request, Response, StatusCode};
 use cicadashift_http::server::{self, Limits, Stop};
+use http_body_util::{BodyExt, StreamBody};
 use serde_json::json;
 use smol::Async;
+use smol::stream::StreamExt;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -34,6 +38,8 @@
 pub struct Fatal {
     /// What was asked for.
     pub path: String,
+    /// Under which id.
+    pub id: String,
     /// When it reached the instance.
     pub at: Instant,
 }
@@ -52,6 +58,8 @@
     Failing,
     /// That it did not run the request.
     Shedding,
+    /// Begins an answer and closes the connection, and goes on serving.
+    Truncating,
 }
 
 struct Shared {
@@ -314,7 +322,7 @@
     let work = *lock(&shared.work);
     if head.uri.path().contains(GUILTY) {
         let path = head.uri.path().to_string();
-        lock(&shared.fatal).push(Fatal { path, at: Instant::now() });
+        lock(&shared.fatal).push(Fatal { path, id, at: Instant::now() });
         smol::Timer::after(work).await;
         // By itself, since its end drops the connection and with it this run.
         exec::spawn(async move { shared.end() }).detach();
@@ -326,6 +334,9 @@
     if manner == Manner::Silent {
         return std::future::pending().await;
     }
+    if manner == Manner::Truncating {
+        return truncated(&id, &own);
+    }
     let echoed = if manner == Manner::WrongId { "of-another" } else { id.as_str() };
     let answer = match head.uri.path().ends_with("/large") {
         true => id.repeat(LARGE_BYTES / id.len().max(1)),
@@ -340,6 +351,16 @@
     res
 }
 
+/// An answer that breaks off after its first bytes.
+fn truncated(id: &str, own: &str) -> Response<Body> {
+    let begun = smol::stream::once(Ok(Frame::data(Bytes::from_static(b"begun"))));
+    let broken = smol::stream::once(Err(BodyError::Broken("on purpose".to_string())));
+    let mut res = Response::new(StreamBody::new(begun.chain(broken)).boxed_unsync());
+    set(&mut res, "x-request-id", id);
+    set(&mut res, "x-server-stamp", own);
+    res
+}
+
 fn health(shared: &Shared, own: &str) -> Response<Body> {
     let mut res = Response::new(body::empty());
     if *lock(&shared.draining) {
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -3,7 +3,7 @@
 use super::{DONE, MISUSE, NOT_DONE};
 use crate::clock::{Clock, SystemClock};
 use crate::operator::change::{self, Snapshot};
-use crate::operator::{OperatorError, fleet, plan, record, report};
+use crate::operator::{OperatorError, fleet, plan, quarantine, record, report};
 use crate::store::PlatformError;
 use crate::store::etcd::Etcd;
 use cicadashift_core::config::manifest::Object;
@@ -208,6 +208,19 @@
         }
     }
 
+    /// `quarantine list`.
+    pub async fn list_quarantine(&self) -> Result {
+        let machine = quarantine::list(&self.daemons).await?;
+        Ok(Said { human: quarantine::render(&machine), machine, code: DONE })
+    }
+
+    /// `quarantine lift`.
+    pub async fn lift_quarantine(&self, call: &str) -> Result {
+        let human = quarantine::lift(&self.daemons, call).await?;
+        let machine = json!({"call": call, "said": human.trim_end()});
+        Ok(Said { human, machine, code: DONE })
+    }
+
     /// `record`.
     pub async fn record(&self, quarter: Option<&str>, html: Option<&Path>) -> Result {
         let quarter = quarter.map_or_else(|| record::present(self.clock.wall_ms()), str::to_string);
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -18,7 +18,10 @@
 /// Target of the lines about requests.
 const DECISION: &str = "decision";
 /// Beginnings and parts of lines that say what a daemon came to believe.
-const BELIEFS: [&str; 11] = [
+const BELIEFS: [&str; 14] = [
+    "calls at it",
+    "is quarantined",
+    "is cleared",
     "is in force",
     "does not come into force",
     "sign of life",
@@ -199,6 +202,10 @@
         "deadline" | "too-late" => "its time was up; the admit lines say where the time went",
         "late" => "the first answer was late, a second upstream was asked",
         "upstream-broke" | "truncated" => "the upstream closed its connection half-way",
+        "upstream-ended" => "the upstream ended while it ran it; look at the upstream's own logs",
+        "quarantined" => {
+            "upstreams ended under it, and it is sent to none; see `cicadashift quarantine list`"
+        }
         "upstream-failed" => "the upstream answered with a failure of its own",
         "wrong-answer" => "the upstream sent an answer to another request",
         "shed" => "the upstream said that it was full",
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -48,6 +48,17 @@
                 /// Write JSON for machines.
                 optional --json
             }
+            /// Show calls that ended upstreams, and let them be sent again: `quarantine list`,
+            /// `quarantine lift CALL`.
+            cmd quarantine {
+                required action: String
+                /// The call's digest, as `quarantine list` and the logs show it.
+                optional call: String
+                /// Upstream port of a daemon to ask; several may be given.
+                repeated --daemon addr: SocketAddr
+                /// Write JSON for machines.
+                optional --json
+            }
             /// Tell the story of a request from the logs of the daemons that it passed.
             cmd explain {
                 /// The request's id.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -64,6 +64,7 @@
                 cx.record(flags.quarter.as_deref(), flags.html.as_deref()).await
             })
         }
+        CicadashiftCmd::Quarantine(flags) => run_quarantine(flags),
         CicadashiftCmd::Explain(flags) => match explain::explain(&flags.request, &flags.files) {
             Ok(story) => {
                 print!("{story}");
@@ -81,6 +82,20 @@
     }
 }
 
+fn run_quarantine(flags: flags::main::Quarantine) -> i32 {
+    let cx = Client::new(&[], &flags.daemon, flags.json);
+    match (flags.action.as_str(), flags.call) {
+        ("list", None) => with_client(cx, async |cx: &Client| cx.list_quarantine().await),
+        ("lift", Some(call)) => {
+            with_client(cx, async |cx: &Client| cx.lift_quarantine(&call).await)
+        }
+        _ => {
+            eprintln!("error: there are `quarantine list` and `quarantine lift CALL`");
+            MISUSE
+        }
+    }
+}
+
 fn run_config(flags: flags::config::Config) -> i32 {
     use flags::config::ConfigCmd;
     let cx = Client::new(&flags.platform, &flags.daemon, flags.json);
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -69,12 +69,17 @@
     take_in(d, news);
 }
 
-/// Takes the suspicion from a call; returns whether there was one.
-pub fn lift(d: &Arc<Daemon>, call: CallDigest) -> bool {
+/// Takes the suspicion from a call at all daemons; returns whether there was one.
+///
+/// # Errors
+///
+/// Returns why the store may still hold it, so that a restart of all daemons would bring
+/// it back.
+pub async fn lift(d: &Arc<Daemon>, call: CallDigest) -> Result<bool, PlatformError> {
     let news = lock(&d.quarantine.suspects).clear(call, d.clock.now());
-    let was_known = news.is_some();
-    take_in(d, news.into_iter().collect());
-    was_known
+    let Some(news) = news else { return Ok(false) };
+    take_in(d, vec![news.clone()]);
+    save(d, &news).await.map(|()| true)
 }
 
 /// Returns all that is known, for other daemons and for operators.
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -1,7 +1,8 @@
 //! What a daemon tells of itself and of the fleet.
 
-use super::{Daemon, mesh};
+use super::{Daemon, mesh, quarantine as suspected};
 use cicadashift_core::membership::record::Record;
+use cicadashift_core::request::suspects::Standing;
 use cicadashift_http::exec;
 use cicadashift_wire::rpc::{Request as Ask, Response};
 use serde_json::{Value, json};
@@ -75,6 +76,25 @@
     })
 }
 
+/// Returns the calls that are suspected of ending upstreams, and for how long each is
+/// sent to none.
+pub fn quarantine(d: &Daemon) -> Value {
+    let rows = suspected::all(d).into_iter().filter(|suspicion| suspicion.count() > 0);
+    rows.map(|suspicion| {
+        let left = match suspected::standing(d, suspicion.call) {
+            Standing::Quarantined { left } => Some(left.as_secs()),
+            Standing::Suspected | Standing::Clear => None,
+        };
+        json!({
+            "call": suspicion.call.to_string(),
+            "ended": suspicion.count(),
+            "quarantined_s": left,
+        })
+    })
+    .collect::<Vec<_>>()
+    .into()
+}
+
 /// Returns what every daemon known tells of itself, asked now.
 ///
 /// A daemon that does not answer is listed with what membership last knew and
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -4,8 +4,9 @@
 //! can reach it, so it belongs on loopback.
 
 use super::request::headers;
-use super::{Daemon, status};
+use super::{Daemon, quarantine, status};
 use cicadashift_core::config::check_name;
+use cicadashift_core::ids::CallDigest;
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_edge::interface::{
     Announcement as Announced, Interface, Malformed, Report as Told,
@@ -64,6 +65,8 @@
         (&Method::DELETE, ["v1", "upstreams", instance]) => leave(&d, instance),
         (&Method::GET, ["v1", "status"]) => json(status::fleet(&d).await),
         (&Method::GET, ["v1", "status", "self"]) => json(status::own(&d)),
+        (&Method::GET, ["v1", "quarantine"]) => json(status::quarantine(&d)),
+        (&Method::DELETE, ["v1", "quarantine", call]) => lift(&d, call).await,
         (&Method::GET, ["v1", "record"]) => json(d.record.to_json()),
         _ => headers::plain(StatusCode::NOT_FOUND, "no such path; see docs/UPSTREAMS.md\n"),
     }
@@ -139,6 +142,23 @@
     }
 }
 
+/// Takes the suspicion from a call, at an operator's word.
+async fn lift(d: &Arc<Daemon>, call: &str) -> Response<Body> {
+    let Some(call) = CallDigest::from_hex(call) else {
+        return headers::plain(StatusCode::BAD_REQUEST, "a digest has 16 hexadecimal digits\n");
+    };
+    log::info!("an operator lifts the quarantine of call {call}");
+    match quarantine::lift(d, call).await {
+        Ok(true) => headers::plain(StatusCode::OK, "lifted\n"),
+        Ok(false) => headers::plain(StatusCode::NOT_FOUND, "nothing is known against it\n"),
+        Err(err) => {
+            log::warn!("the store still holds the quarantine of call {call}: {err}");
+            let line = format!("lifted, but the store still holds it: {err}\n");
+            headers::plain(StatusCode::OK, &line)
+        }
+    }
+}
+
 fn json(value: serde_json::Value) -> Response<Body> {
     let mut res = Response::new(body::full(format!("{value}\n")));
     headers::set(res.headers_mut(), "content-type", "application/json");
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -1,11 +1,12 @@
 //! What daemons tell of the fleet.
 
 use super::OperatorError;
+use bytes::Bytes;
 use cicadashift_core::config::select::Proxy;
 use cicadashift_core::ids::Version;
 use cicadashift_http::body;
 use cicadashift_http::client::Pool;
-use cicadashift_http::hyper::Request;
+use cicadashift_http::hyper::{Method, Request, Response};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,20 +28,43 @@
 ///
 /// Returns [`OperatorError::NoDaemon`] where none answers.
 pub async fn status(daemons: &[SocketAddr]) -> Result<Value, OperatorError> {
-    let mut last = "none named".to_string();
-    let pool = Pool::new(1);
+    json_of(daemons, "/v1/status").await
+}
+
+/// Asks these daemons in turn for something in JSON until one answers with it.
+///
+/// # Errors
+///
+/// Returns [`OperatorError::NoDaemon`] where none does.
+pub async fn json_of(daemons: &[SocketAddr], path: &str) -> Result<Value, OperatorError> {
+    let mut last = OperatorError::NoDaemon("none named".to_string());
     for daemon in daemons {
-        let req = Request::get("/v1/status").header("host", "daemon").body(body::empty());
-        let Ok(req) = req else { continue };
-        match pool.exchange(*daemon, req, MAX_STATUS, STATUS_TIME).await {
+        match ask(*daemon, Method::GET, path).await {
             Ok(res) => match serde_json::from_slice(res.body()) {
                 Ok(value) => return Ok(value),
-                Err(err) => last = err.to_string(),
+                Err(err) => last = OperatorError::NoDaemon(err.to_string()),
             },
-            Err(err) => last = format!("{daemon}: {err}"),
+            Err(err) => last = err,
         }
     }
-    Err(OperatorError::NoDaemon(last))
+    Err(last)
+}
+
+/// Asks a daemon.
+///
+/// # Errors
+///
+/// Returns [`OperatorError::NoDaemon`] where it does not answer.
+pub async fn ask(
+    daemon: SocketAddr,
+    method: Method,
+    path: &str,
+) -> Result<Response<Bytes>, OperatorError> {
+    let none = |why: String| OperatorError::NoDaemon(format!("{daemon}: {why}"));
+    let req = Request::builder().method(method).uri(path).header("host", "daemon");
+    let req = req.body(body::empty()).map_err(|err| none(err.to_string()))?;
+    let answer = Pool::new(1).exchange(daemon, req, MAX_STATUS, STATUS_TIME).await;
+    answer.map_err(|err| none(err.to_string()))
 }
 
 /// Returns the proxies that answered, with what selectors see of each.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,7 +13,7 @@
 use cicadashift_testkit::hosted::instance::Manner;
 use cicadashift_testkit::hosted::store::Down;
 use common::run;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -25,11 +25,19 @@
 const CALLERS: usize = 8;
 /// Seeds that CI runs, and for how long each.
 const CI_SEEDS: std::ops::Range<u64> = 1..4;
-const CI_SECONDS: u64 = 4;
+const CI_SECONDS: u64 = 8;
 /// Seeds that failed once, with the cause.
 const REGRESSIONS: [(u64, &str); 0] = [];
 /// Time in which everything is well again after the last fault.
 const RECOVERY: Duration = Duration::from_secs(15);
+/// What is asked for, at each daemon in turn, and ends the instance that runs it.
+const GUILTY_PATH: &str = "/notices/guilty";
+/// Pause between two such requests.
+const GUILTY_EVERY: Duration = Duration::from_millis(120);
+/// Instances that it may end before it must be known, and most runs of it after that.
+const GUILTY_FREE: usize = 3;
+/// Time after which every daemon that nothing was done to must know it.
+const IN_TOUCH: Duration = Duration::from_secs(3);
 
 /// A small generator, so that one seed gives one series of faults.
 struct Random(u64);
@@ -42,6 +50,48 @@
     }
 }
 
+/// When something was done to each daemon, and until when it lasted.
+#[derive(Default)]
+struct Disturbed {
+    spans: Vec<(usize, Instant, Option<Instant>)>,
+    stopped: BTreeSet<usize>,
+}
+
+impl Disturbed {
+    /// Takes in that something begins which lasts.
+    fn begin(&mut self, i: usize) {
+        self.spans.push((i, Instant::now(), None));
+    }
+
+    /// Takes in that something was done in this moment.
+    fn once(&mut self, i: usize) {
+        self.spans.push((i, Instant::now(), Some(Instant::now())));
+    }
+
+    /// Takes in that a daemon is told to stop: it is started again when all is mended.
+    fn end(&mut self, i: usize) {
+        self.stopped.insert(i);
+        self.begin(i);
+    }
+
+    /// Takes in that a frozen daemon goes on.
+    fn wake(&mut self, i: usize) {
+        for (daemon, _, until) in &mut self.spans {
+            if *daemon == i && until.is_none() && !self.stopped.contains(&i) {
+                *until = Some(Instant::now());
+            }
+        }
+    }
+
+    /// Returns whether nothing was done to a daemon for a while before a moment.
+    fn in_touch(&self, i: usize, at: Instant) -> bool {
+        self.spans
+            .iter()
+            .filter(|(daemon, _, _)| *daemon == i)
+            .all(|(_, from, until)| at < *from || until.is_some_and(|until| at > until + IN_TOUCH))
+    }
+}
+
 /// What callers were told, by request id.
 type Told = Arc<Mutex<BTreeMap<String, Outcome>>>;
 
@@ -58,7 +108,9 @@
     // Callers send lookups and notices all the while; daemons are killed, frozen,
     // stopped and reloaded, instances drain, fall silent and answer for others,
     // the store is away. No notice runs twice, none runs that was refused, no
-    // answer is another's, and after the last fault all is served again.
+    // answer is another's, and after the last fault all is served again. One caller asks
+    // all the while for what ends instances; daemons that nothing is done to stop sending
+    // it on.
     let seeds = std::env::var("SOAK_SEEDS").ok().and_then(|text| parse(&text));
     let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok());
     let regressions = REGRESSIONS.iter().map(|(seed, _)| *seed);
@@ -86,14 +138,18 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|n| exec::spawn(call(seed, n, fleet.caller(n % DAEMONS), told.clone(), stop.clone())))
         .collect();
+    let guilty = exec::spawn(call_guilty((0..DAEMONS).map(|i| fleet.caller(i)).collect()));
     let mut random = Random(seed);
     let mut story = Vec::new();
     let mut version = 2;
+    let mut disturbed = Disturbed::default();
     let until = Instant::now() + time;
     while Instant::now() < until {
-        story.push(fault(&mut fleet, &mut random, &mut version).await);
+        story.push(fault(&mut fleet, &mut random, &mut version, &mut disturbed).await);
         smol::Timer::after(Duration::from_millis(100 + random.below(500))).await;
     }
+    guilty.cancel().await;
+    check_guilty(seed, &fleet, &disturbed, &story);
     mend(&mut fleet).await;
     let mended = Instant::now();
     for i in 0..DAEMONS {
@@ -147,26 +203,71 @@
     }
 }
 
+/// Asks for what ends instances at each daemon in turn, for ever.
+async fn call_guilty(callers: Vec<cicadashift_testkit::hosted::fleet::HostedCaller>) {
+    let mut n = 0;
+    loop {
+        let i = n % callers.len();
+        let id = format!("{i} guilty {n}");
+        // A daemon that is frozen or gone must not hold the others up.
+        let call = callers[i].call(Method::GET, GUILTY_PATH, &id);
+        let _whatever = exec::timeout(Duration::from_millis(800), call).await;
+        n += 1;
+        smol::Timer::after(GUILTY_EVERY).await;
+    }
+}
+
+/// Checks that daemons to which nothing was done stopped sending on what ends instances.
+fn check_guilty(seed: u64, fleet: &HostedFleet, disturbed: &Disturbed, story: &[String]) {
+    let mut runs = Vec::new();
+    for (exit, node) in fleet.nodes.iter().enumerate() {
+        runs.extend(node.instance.fatal().into_iter().map(|run| (exit, run)));
+    }
+    runs.sort_by_key(|(_, run)| run.at);
+    eprintln!("seed {seed}: {} runs of what ends instances", runs.len());
+    let Some(third) = runs.get(GUILTY_FREE - 1).map(|(_, run)| run.at) else { return };
+    let late: Vec<_> = runs
+        .iter()
+        .filter(|(_, run)| run.at > third + IN_TOUCH)
+        .filter(|(exit, run)| {
+            let entry = run.id.split(' ').next().and_then(|i| i.parse().ok()).unwrap_or(*exit);
+            disturbed.in_touch(entry, run.at) && disturbed.in_touch(*exit, run.at)
+        })
+        .collect();
+    assert!(late.len() <= GUILTY_FREE, "seed {seed}: {late:#?} after {story:?}");
+}
+
 /// Makes one thing go wrong, or well again; says what.
-async fn fault(fleet: &mut HostedFleet, random: &mut Random, version: &mut u64) -> String {
+async fn fault(
+    fleet: &mut HostedFleet,
+    random: &mut Random,
+    version: &mut u64,
+    disturbed: &mut Disturbed,
+) -> String {
     let i = random.below(DAEMONS as u64) as usize;
-    match random.below(13) {
+    match random.below(14) {
         0 => {
+            disturbed.once(i);
             fleet.kill(i);
             fleet.restart(i);
             format!("{i} killed")
         }
         1 => {
             fleet.signal(i, "-STOP");
+            disturbed.begin(i);
             format!("{i} frozen")
         }
         2 | 3 => {
-            (0..DAEMONS).for_each(|i| fleet.signal(i, "-CONT"));
+            (0..DAEMONS).for_each(|i| {
+                fleet.signal(i, "-CONT");
+                disturbed.wake(i);
+            });
             "all wake".to_string()
         }
         4 => {
             fleet.signal(i, "-CONT");
             fleet.signal(i, "-TERM");
+            disturbed.end(i);
             format!("{i} told to stop")
         }
         5 => {
@@ -203,6 +304,10 @@
             fleet.nodes[i].instance.set_work(Duration::from_millis(random.below(80)));
             format!("instance {i} good")
         }
+        12 => {
+            fleet.nodes[i].instance.end();
+            format!("instance {i} ends")
+        }
         _ => {
             *version += 1;
             fleet.put_config(*version, &["/notices/", "/lift/"]);
