--- a/src/daemon/ended.rs
+++ b/src/daemon/gates/ended.rs
@@ -10,8 +10,8 @@
 //! An upstream whose host ends with it is not seen here, since this daemon ends too. One
 //! that ends after its answers have left leaves no call behind that could be named.
 
-use super::gates::Local;
-use super::{Daemon, quarantine};
+use super::local::Local;
+use crate::daemon::{Daemon, quarantine};
 use cicadashift_core::ids::CallDigest;
 use cicadashift_http::exec;
 use smol::Async;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -14,7 +14,6 @@
 pub mod costs;
 pub mod discovery;
 pub mod document;
-pub mod ended;
 pub mod garbage;
 pub mod gates;
 pub mod gateway;
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -181,14 +181,9 @@
     let mut so_far = SoFar::default();
     loop {
         let now = d.clock.now();
-        if now >= work.deadline {
-            let (reason, wait) = so_far.last_refusal.unwrap_or(("too-late", MIN_RETRY_AFTER));
+        if let Some((reason, wait)) = is_over(d, &work, &so_far, now) {
             return give_up(d, &work, so_far, reason, wait);
         }
-        if let Standing::Quarantined { left } = quarantine::standing(d, work.digest) {
-            d.metrics.incr("call.quarantined");
-            return give_up(d, &work, so_far, call::QUARANTINED, left);
-        }
         let target = match d.services.choose(&work.service, work.demand(now), now, &so_far.tried) {
             Ok(target) => target,
             Err(_) if so_far.back_to_full() => continue,
@@ -238,6 +233,25 @@
     }
 }
 
+/// Returns why a call is sent to nobody any more, and when its caller may come back.
+fn is_over(
+    d: &Daemon,
+    work: &Work,
+    so_far: &SoFar,
+    now: Instant,
+) -> Option<(&'static str, Duration)> {
+    if now >= work.deadline {
+        return Some(so_far.last_refusal.unwrap_or(("too-late", MIN_RETRY_AFTER)));
+    }
+    match quarantine::standing(d, work.digest) {
+        Standing::Quarantined { left } => {
+            d.metrics.incr("call.quarantined");
+            Some((call::QUARANTINED, left))
+        }
+        Standing::Suspected | Standing::Clear => None,
+    }
+}
+
 fn decide(
     d: &Daemon,
     work: &Work,
