Show that a caller which leaves early keeps its call from being named

Cause: only calls whose caller still waits count as being at an upstream that ends. The stand-in instance now ends whether or not the caller of the run stays.

--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -323,9 +323,13 @@
     if head.uri.path().contains(GUILTY) {
         let path = head.uri.path().to_string();
         lock(&shared.fatal).push(Fatal { path, id, at: Instant::now() });
-        smol::Timer::after(work).await;
-        // By itself, since its end drops the connection and with it this run.
-        exec::spawn(async move { shared.end() }).detach();
+        // By itself: a run that has begun ends the instance whether or not its caller
+        // stays, and the end drops the connection.
+        let ending = async move {
+            smol::Timer::after(work).await;
+            shared.end();
+        };
+        exec::spawn(ending).detach();
         return std::future::pending().await;
     }
     let run = Run { shared: shared.clone(), id: id.clone(), ended: false };
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -128,6 +128,31 @@
     });
 }
 
+#[test]
+fn a_caller_that_leaves_before_the_end_is_remembered() {
+    // Each time the caller gives up after 40 ms, and the instance that still runs its
+    // request ends 60 ms later. By then the request is at work nowhere, as far as the
+    // daemon beside the instance knows.
+    run(async {
+        let fleet = serving(4).await;
+        fleet.nodes.iter().for_each(|node| node.instance.set_work(Duration::from_millis(100)));
+        let path = "/notices/guilty-left";
+        let until = Instant::now() + Duration::from_secs(7);
+        let mut n = 0;
+        while Instant::now() < until {
+            let id = format!("left-{n}");
+            let call = fleet.status(n % 4, path, &id);
+            assert_ne!(exec::timeout(Duration::from_millis(40), call).await, Some(Some(200)));
+            // Somebody else's request, which breaks when the instance ends.
+            fleet.status(n % 4, &format!("/notices/{n}"), &format!("other-{n}")).await;
+            n += 1;
+        }
+        let runs = fatal(&fleet, path);
+        let late = late(&runs);
+        assert!(late <= LATE_RUNS, "{late} late runs, {} in all, of {n} calls", runs.len());
+    });
+}
+
 #[test]
 fn a_popular_request_keeps_its_name_clean() {
     // Many callers read the same notice all the while. Twelve different requests end
