Name calls whose caller left before the upstream ended under them

Cause: a call counted as being at an upstream only while somebody waited for it. A caller that leaves early takes its call's name along, and the upstream that runs it on ends each time. Ruled out: waiting for the upstream after the caller left; whether it drops the call is its own affair. Change: what was sent and given up counts for three more seconds, 64 calls at most; a refused connection without any broken call asks the same question; daemons of failure domains compare what they know with each exchange, where the interface is the product's own.

--- a/src/daemon/gates/ended.rs
+++ b/src/daemon/gates/ended.rs
@@ -8,7 +8,8 @@
 //! # Limits
 //!
 //! An upstream whose host ends with it is not seen here, since this daemon ends too. One
-//! that ends after its answers have left leaves no call behind that could be named.
+//! that ends after its answers have left leaves no call behind that could be named, and
+//! one that nothing is sent to is found to have ended by its missing reports.
 
 use super::local::Local;
 use crate::daemon::{Daemon, quarantine};
@@ -79,6 +80,12 @@
     has_ended
 }
 
+/// Finds out whether an upstream ended when it could not be connected to: whoever waited
+/// for it may have left before.
+pub async fn after_refusal(d: &Arc<Daemon>, local: &Arc<Local>) -> bool {
+    find(d, local).await
+}
+
 async fn find(d: &Arc<Daemon>, local: &Arc<Local>) -> bool {
     // The first call asks, the others wait here for what it finds.
     let mut found = local.end_check.found.lock().await;
@@ -93,7 +100,8 @@
         return false;
     }
     *found = Found::Ended;
-    let calls = local.at_work();
+    let mut calls = local.at_work();
+    calls.extend(local.given_up(d.clock.now()));
     let names: Vec<String> = calls.iter().map(|call| call.to_string()).collect();
     d.metrics.incr("upstream.ended");
     log::warn!("upstream {} ended, {} calls at it: {}", local.name, names.len(), names.join(" "));
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -12,7 +12,7 @@
 use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
 use smol::channel::{Receiver, Sender};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -22,6 +22,12 @@
 /// Failures to connect in a row after which an upstream is taken for gone.
 const UNREACHED_MOST: u32 = 3;
 
+/// How long a call that was given up may still be at an upstream: as long as most
+/// deadlines.
+const GIVEN_UP_FOR: Duration = Duration::from_secs(3);
+/// Most such calls remembered; more than an upstream has slots for.
+const GIVEN_UP_KEPT: usize = 64;
+
 /// One upstream on this host.
 pub struct Local {
     /// Its name in the mesh, which no other start of the instance has.
@@ -46,6 +52,8 @@
     leaves: bool,
     /// What is at the upstream now.
     at_work: HashMap<Ticket, CallDigest>,
+    /// What was sent and given up lately, and may be at the upstream still.
+    given_up: VecDeque<(Instant, CallDigest)>,
     waiting: HashMap<Ticket, Sender<Result<(), Refusal>>>,
 }
 
@@ -82,6 +90,7 @@
             reported: now,
             unreached: 0,
             at_work: HashMap::new(),
+            given_up: VecDeque::new(),
             waiting: HashMap::new(),
         };
         let pool = Pool::new(connections);
@@ -146,6 +155,16 @@
         lock(&self.state).at_work.values().copied().collect()
     }
 
+    /// Returns what may be at the upstream although nobody waits for it any more.
+    ///
+    /// Failure: a caller leaves, and the upstream ends a moment later under what it runs
+    /// on for nobody. Symptom: the call is never named, and ends one upstream each time.
+    pub fn given_up(&self, now: Instant) -> Vec<CallDigest> {
+        let state = lock(&self.state);
+        let lately = |at: &Instant| now.saturating_duration_since(*at) < GIVEN_UP_FOR;
+        state.given_up.iter().filter(|(at, _)| lately(at)).map(|(_, call)| *call).collect()
+    }
+
     /// Notes that a call was given up without a word from the upstream: its
     /// other connections may be as silent.
     pub fn silent(&self, d: &Daemon) {
@@ -230,7 +249,12 @@
         if matches!(end, End::Answered(_)) {
             state.unreached = 0;
         }
-        state.at_work.remove(&ticket);
+        let call = state.at_work.remove(&ticket);
+        if let (Some(call), End::Failed) = (call, end) {
+            state.given_up.push_back((now, call));
+            let more = state.given_up.len().saturating_sub(GIVEN_UP_KEPT);
+            state.given_up.drain(..more);
+        }
         let wakes = state.gate.ended(ticket, end, now);
         state.tell(wakes);
     }
--- a/src/daemon/gateway.rs
+++ b/src/daemon/gateway.rs
@@ -1,12 +1,12 @@
 //! Exchange between failure domains.
 //!
 //! One daemon of each failure domain, the reader or else the first by key,
-//! exchanges with one daemon of each other domain: the records that changed, and
-//! the newest version held whole. A failure domain that has lost the platform
+//! exchanges with one daemon of each other domain: the records that changed, the
+//! newest version held whole, and calls that are suspected of ending upstreams. A failure domain that has lost the platform
 //! but not its neighbours stays current in this way.
 
 use super::stage::Source;
-use super::{Daemon, lock, mesh, rollout};
+use super::{Daemon, lock, mesh, quarantine, rollout};
 use crate::store::{Platform, keys};
 use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::membership::record::Record;
@@ -147,6 +147,9 @@
     if let Some(newest) = newest {
         consider(d, newest, to);
     }
+    if !quarantine::all(d).is_empty() {
+        quarantine::differs(d, to);
+    }
     true
 }
 
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -146,6 +146,7 @@
         Some(Ok(answered)) => answered,
         Some(Err(err)) if err.is_unsent() => {
             local.unreached();
+            ended::after_refusal(&d, &local).await;
             pass.end(End::Failed, d.clock.now());
             return not_run(&d, &cx, "unreached", UNREACHED_WAIT, started, &local);
         }
