Ask an upstream anew for each call that broke after it was asked, and say less in a digest

Cause: an upstream found alive was not asked again for a tenth of a second, and one that ends in that time counted as alive. Read from the code; a test of it passed before as well, since the next refused connection finds the end, with what was given up lately. Ruled out for that reason: that it was seen by callers. Change: a call shares an answer that was asked for after it broke, and no older one; credentials, which may differ with each try, are no part of the digest; a copy in the store that is to follow a cleared call is not forgotten at the next end; comparisons of large tables are rarer.

--- a/crates/core/src/request/suspects.rs
+++ b/crates/core/src/request/suspects.rs
@@ -28,6 +28,7 @@
 //! # Limits
 //!
 //! A call that sometimes ends an upstream and sometimes runs well is cleared each time.
+//! One that ran well until a release is not named for [`GOOD_FOR`].
 //! A call of which several tries are begun before the first end is known may end as many
 //! upstreams.
 
@@ -179,7 +180,7 @@
             }
             row.until = now + QUARANTINE;
             row.seen_here = true;
-            row.unsaved = row.count() >= ENDS_TO_JUDGE;
+            row.unsaved |= row.count() >= ENDS_TO_JUDGE;
             news.push(row.told(*call, now));
         }
         news
@@ -233,6 +234,16 @@
         }
     }
 
+    /// Returns how many calls are known.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether nothing is known against any call.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// Returns all that is to be told.
     pub fn all(&self, now: Instant) -> Vec<Suspicion> {
         self.told_rows(now).map(|(call, row)| row.told(*call, now)).collect()
--- a/src/daemon/gates/ended.rs
+++ b/src/daemon/gates/ended.rs
@@ -28,9 +28,6 @@
 const ASK_AGAIN: Duration = Duration::from_millis(15);
 /// Time for one connection on the own host.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
-/// For how long an upstream that was found alive is not asked again. A connection costs
-/// it about a millisecond, and one that loses many answers need not be asked for each.
-const ALIVE_FOR: Duration = Duration::from_millis(100);
 
 /// What is known of an upstream's end.
 #[derive(Default)]
@@ -45,7 +42,7 @@
     /// Nobody asked.
     #[default]
     Nothing,
-    /// It lived at this moment.
+    /// It lived when it was asked, beginning at this moment.
     Alive(Instant),
     /// It ended.
     Ended,
@@ -87,16 +84,20 @@
 }
 
 async fn find(d: &Arc<Daemon>, local: &Arc<Local>) -> bool {
+    let broke = d.clock.now();
     // The first call asks, the others wait here for what it finds.
     let mut found = local.end_check.found.lock().await;
     match *found {
         Found::Ended => return true,
-        Found::Alive(at) if d.clock.now() < at + ALIVE_FOR => return false,
+        // What was asked before this call broke tells nothing about it: one that lost an
+        // answer may end a moment later.
+        Found::Alive(asked) if asked >= broke => return false,
         Found::Alive(_) | Found::Nothing => {}
     }
+    let asked = d.clock.now();
     // One that leaves ends by its own will, whatever is at it.
-    if local.leaves() || !is_over(local).await {
-        *found = Found::Alive(d.clock.now());
+    if local.leaves() || !serves_no_more(local).await {
+        *found = Found::Alive(asked);
         return false;
     }
     *found = Found::Ended;
@@ -111,7 +112,7 @@
 }
 
 /// Returns whether an upstream ended, a moment after a call at it broke.
-async fn is_over(local: &Local) -> bool {
+async fn serves_no_more(local: &Local) -> bool {
     if is_refused(local.address).await {
         return true;
     }
--- a/src/daemon/gateway.rs
+++ b/src/daemon/gateway.rs
@@ -147,7 +147,7 @@
     if let Some(newest) = newest {
         consider(d, newest, to);
     }
-    if !quarantine::all(d).is_empty() {
+    if quarantine::is_any(d) {
         quarantine::differs(d, to);
     }
     true
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -31,13 +31,17 @@
 const DATAGRAMS_PER_ROUND: usize = 4;
 /// How long a summary is used: one for each datagram would be most of the work.
 const SUMMARY_FOR: Duration = Duration::from_millis(500);
-/// Time between two comparisons that differing summaries lead to.
+/// Time between two comparisons that differing summaries lead to, at least.
 const COMPARE_EVERY: Duration = Duration::from_millis(400);
+/// The same for each call known, so that comparisons of full tables, which may never
+/// agree, take 8 KB/s and not 80: some 30 bytes a call, both ways.
+const COMPARE_EVERY_CALL: Duration = Duration::from_millis(8);
 /// Time for one comparison.
 const COMPARE_TIME: Duration = Duration::from_millis(500);
 /// Time between two looks at what has to be kept or forgotten.
 const LOOK: Duration = Duration::from_millis(500);
-/// How long the store keeps a quarantine without a daemon: as long as it lasts.
+/// How long the store keeps a quarantine without a daemon: as long as it lasts. Daemons
+/// that read it after a restart count its time anew, so that it may last twice as long.
 const KEPT_FOR: Duration = cicadashift_core::request::suspects::QUARANTINE;
 
 /// What this daemon knows.
@@ -108,6 +112,11 @@
     lock(&d.quarantine.suspects).all(d.clock.now())
 }
 
+/// Returns whether anything is known against a call.
+pub fn is_any(d: &Daemon) -> bool {
+    !lock(&d.quarantine.suspects).is_empty()
+}
+
 /// Returns a number that is the same at daemons that know the same.
 pub fn summary(d: &Daemon) -> u64 {
     let now = d.clock.now();
@@ -129,8 +138,10 @@
         return;
     }
     let now = d.clock.now();
+    let known = lock(&d.quarantine.suspects).len() as u32;
+    let pause = COMPARE_EVERY.max(COMPARE_EVERY_CALL * known);
     let mut compared = lock(&d.quarantine.compared);
-    if compared.is_some_and(|at| now < at + COMPARE_EVERY) {
+    if compared.is_some_and(|at| now < at + pause) {
         return;
     }
     *compared = Some(now);
--- a/src/daemon/request/digest.rs
+++ b/src/daemon/request/digest.rs
@@ -1,8 +1,9 @@
 //! What makes two calls the same.
 //!
 //! A caller that sends a call again gives it a new id, and may send it to another
-//! host. Its digest stays: the method, the host and path asked for, the names that
-//! the caller goes by, and the body. Headers that differ with each try are left out.
+//! host. Its digest stays: the method, the host and path asked for, the name that the
+//! caller gives itself, and the body. Other headers are left out, since some differ with
+//! each try, such as signatures and dates.
 //!
 //! # Limits
 //!
@@ -20,7 +21,7 @@
 /// What of a call's head goes into its digest, taken before headers are removed.
 pub struct Asked {
     host: String,
-    caller: [String; 2],
+    caller: String,
 }
 
 impl Asked {
@@ -30,7 +31,7 @@
         let host = head.uri.authority().map(|host| host.to_string());
         Asked {
             host: host.unwrap_or_else(|| text(header::HOST.as_str())),
-            caller: [text(call::CALLER), text(header::AUTHORIZATION.as_str())],
+            caller: text(call::CALLER),
         }
     }
 
@@ -44,8 +45,7 @@
             head.method.as_str().as_bytes(),
             self.host.as_bytes(),
             path.as_bytes(),
-            self.caller[0].as_bytes(),
-            self.caller[1].as_bytes(),
+            self.caller.as_bytes(),
             body,
         ])
     }
