Prove the comparison between daemons with a test of its own

Cause: the test of a frozen and a restarted daemon was said to prove it, and passes without it: the frozen one tells again what waited in its socket. Change: a daemon that starts without the store when all has been told.

--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -262,6 +262,27 @@
     });
 }
 
+#[test]
+fn a_daemon_that_starts_without_the_store_learns_it_by_comparing() {
+    // A daemon is down while the others learn which request ends instances, and starts
+    // when all of that has been told. The store is away, so that only a comparison with
+    // another daemon can tell it.
+    run(async {
+        let mut fleet = serving(3).await;
+        let path = "/notices/guilty-7";
+        fleet.store.fault(|faults| faults.down = Some(Down::Busy));
+        fleet.kill(2);
+        until_known(&fleet, 0, path).await;
+        smol::Timer::after(Duration::from_secs(1)).await;
+        fleet.restart(2);
+        let ready = async |fleet: &HostedFleet| fleet.is_ready(2).await;
+        assert!(fleet.wait(ready).await, "{}", fleet.log(2));
+        smol::Timer::after(KNOWN_AFTER).await;
+        let list = quarantine(&fleet, 2, &["list"]).await;
+        assert!(list.contains("quarantined for"), "{list}{}", fleet.log(2));
+    });
+}
+
 #[test]
 fn a_quarantine_outlives_a_restart_of_all_daemons() {
     // The store is away when a request is found to end instances. Once it is back the
