Find the innocent beside calls that end upstreams, and give them a way back

Cause: two upstreams that end within one run name every call at both. With no good run known (a fresh fleet, or its place among good runs taken by others) the popular call was quarantined beside the guilty one, and since a quarantined call is sent nowhere, no run could clear it for ten minutes. A second path to the same: the entry daemon hears of two ends of its own call from the exits some 40 ms before it hears who else was at them.

Change: a verdict settles for 250 ms; a call is explained where at each of its ends was one with more ends; one that shares its ends, or whose last end is 30 s old, is tried by one daemon at a time that holds a leased key of the store, up to six ends. Callers wait for that at most a second, within their objective.

--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -125,6 +125,8 @@
     LinkBusy { retry_after: Duration },
     /// It ends the upstreams that run it.
     Quarantined { retry_after: Duration },
+    /// It may be the one that ended upstreams; somebody has to try it.
+    Disputed { retry_after: Duration },
 }
 
 impl Refusal {
@@ -135,7 +137,8 @@
             | Refusal::Full { retry_after }
             | Refusal::QueueFull { retry_after }
             | Refusal::LinkBusy { retry_after }
-            | Refusal::Quarantined { retry_after } => *retry_after,
+            | Refusal::Quarantined { retry_after }
+            | Refusal::Disputed { retry_after } => *retry_after,
             Refusal::TooLate | Refusal::Draining | Refusal::Gone => MIN_RETRY_AFTER,
         }
     }
@@ -152,6 +155,7 @@
             Refusal::QueueFull { .. } => "queue-full",
             Refusal::LinkBusy { .. } => "link-busy",
             Refusal::Quarantined { .. } => "quarantined",
+            Refusal::Disputed { .. } => "disputed",
         })
     }
 }
--- a/crates/core/src/request/suspects.rs
+++ b/crates/core/src/request/suspects/mod.rs
@@ -16,8 +16,8 @@
 //! Nearly all calls at an upstream that ends are. What speaks for a call is a run that
 //! ended well: it clears the call of all ends known then, and for [`GOOD_FOR`] a daemon
 //! that saw one vetoes further suspicion. So a popular call keeps its name clean when
-//! many upstreams end beside it. A rare one that had the bad luck of two ends loses its
-//! caller's further tries.
+//! many upstreams end beside it. One without a good run that had the bad luck of two ends
+//! is found by comparing it with the others at the same ends, or by a trial.
 //!
 //! # Merging
 //!
@@ -32,6 +32,11 @@
 //! A call of which several tries are begun before the first end is known may end as many
 //! upstreams.
 
+mod review;
+mod row;
+
+pub use self::review::{Review, SETTLE, TRIAL_AFTER};
+use self::row::{Row, unite};
 use crate::delivery::tree::mix;
 use crate::ids::{CallDigest, StartKey};
 use serde::{Deserialize, Serialize};
@@ -96,60 +101,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Row {
-    ended: Vec<StartKey>,
-    cleared: Vec<StartKey>,
-    /// When the last end is [`QUARANTINE`] old.
-    until: Instant,
-    /// Whether an end was seen here.
-    seen_here: bool,
-    /// Whether it has to be kept where it outlives all daemons, as it is now.
-    unsaved: bool,
-    /// Whether this daemon kept it there before.
-    is_kept: bool,
-}
-
-impl Row {
-    fn new(until: Instant) -> Row {
-        Row {
-            ended: Vec::new(),
-            cleared: Vec::new(),
-            until,
-            seen_here: false,
-            unsaved: false,
-            is_kept: false,
-        }
-    }
-
-    fn count(&self) -> usize {
-        self.ended.iter().filter(|start| !self.cleared.contains(start)).count()
-    }
-
-    fn is_judged(&self, now: Instant) -> bool {
-        self.count() >= ENDS_TO_JUDGE && now < self.until
-    }
-
-    /// Takes it for cleared of all ends known; returns whether that is news.
-    fn clear(&mut self) -> bool {
-        let is_news = self.count() > 0;
-        unite(&mut self.cleared, &self.ended);
-        // What is kept would be believed again after a restart of all daemons.
-        self.unsaved |= is_news && self.is_kept;
-        is_news
-    }
-
-    fn told(&self, call: CallDigest, now: Instant) -> Suspicion {
-        let left = self.until.saturating_duration_since(now).as_millis();
-        Suspicion {
-            call,
-            ended: self.ended.clone(),
-            cleared: self.cleared.clone(),
-            left_ms: left.min(u128::from(u32::MAX)) as u32,
-        }
-    }
-}
-
 /// A call that ran well, and when.
 type Good = Option<(CallDigest, Instant)>;
 
@@ -179,6 +130,7 @@
                 continue;
             }
             row.until = now + QUARANTINE;
+            row.grown_at = now;
             row.seen_here = true;
             row.unsaved |= row.count() >= ENDS_TO_JUDGE;
             news.push(row.told(*call, now));
@@ -213,6 +165,7 @@
         let has_ended = unite(&mut row.ended, &told.ended);
         if has_ended {
             row.until = row.until.max(now + left);
+            row.grown_at = now;
             row.unsaved |= row.seen_here && row.count() >= ENDS_TO_JUDGE;
         }
         let is_cleared = unite(&mut row.cleared, &told.cleared);
@@ -227,7 +180,7 @@
         let Some(row) = self.rows.get(&call) else { return Standing::Clear };
         match row.count() {
             0 => Standing::Clear,
-            _ if row.is_judged(now) => {
+            _ if row.is_judged(now) && !self.is_explained(call, row) => {
                 Standing::Quarantined { left: row.until.saturating_duration_since(now) }
             }
             _ => Standing::Suspected,
@@ -305,14 +258,3 @@
 fn place(call: CallDigest) -> usize {
     call.0 as usize % GOOD_KEPT
 }
-
-/// Adds starts to a list in order, as many as are kept; returns whether it changed.
-fn unite(own: &mut Vec<StartKey>, others: &[StartKey]) -> bool {
-    let before = own.clone();
-    own.extend_from_slice(others);
-    own.sort_unstable();
-    own.dedup();
-    // The same ones are kept everywhere, whatever the order in which they came.
-    own.truncate(ENDS_KEPT);
-    *own != before
-}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -32,6 +32,8 @@
 pub const UPSTREAM_ENDED: &str = "upstream-ended";
 /// Value of [`REASON`]: the call ends the upstreams that run it.
 pub const QUARANTINED: &str = "quarantined";
+/// Value of [`REASON`]: the call may end the upstreams that run it; it runs as a trial only.
+pub const DISPUTED: &str = "disputed";
 /// Milliseconds after which to come back; finer than `Retry-After`.
 pub const RETRY_AFTER_MS: &str = "cicadashift-retry-after-ms";
 /// On answers between daemons: calls now at the upstream and waiting for it.
@@ -82,6 +84,8 @@
     pub attempts: u32,
     /// The configuration version that routed it.
     pub version: Version,
+    /// Whether it is the one trial of a call that may end upstreams.
+    pub is_trial: bool,
 }
 
 impl Context {
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -8,11 +8,12 @@
 //! Bytes told grow with the ends of upstreams, not with calls: some 30 for each call that
 //! was at one, twice to seven daemons from each that hears it first.
 
+use super::request::trial::Trials;
 use super::{Daemon, gossip, lock, mesh};
 use crate::store::{Platform, PlatformError, Swap, keys};
 use cicadashift_core::ids::{CallDigest, StartKey};
 use cicadashift_core::membership::gossip::Queue;
-use cicadashift_core::request::suspects::{Standing, Suspects, Suspicion};
+use cicadashift_core::request::suspects::{Review, Standing, Suspects, Suspicion};
 use cicadashift_http::exec;
 use cicadashift_wire::rpc::{self, Request as Ask, Response};
 use smol::channel::{Receiver, Sender};
@@ -53,6 +54,8 @@
     summary: Mutex<Option<(Instant, u64)>>,
     /// When it last compared all that it knows with another daemon.
     compared: Mutex<Option<Instant>>,
+    /// Trials that this daemon begins.
+    pub trials: Trials,
 }
 
 impl Default for Quarantine {
@@ -63,6 +66,7 @@
             news: smol::channel::bounded(1),
             summary: Mutex::default(),
             compared: Mutex::default(),
+            trials: Trials::default(),
         }
     }
 }
@@ -72,6 +76,11 @@
     lock(&d.quarantine.suspects).standing(call, d.clock.now())
 }
 
+/// Returns how sure the verdict on a quarantined call is.
+pub fn review(d: &Daemon, call: CallDigest) -> Review {
+    lock(&d.quarantine.suspects).review(call, d.clock.now())
+}
+
 /// Takes in that an upstream ended with these calls at it.
 pub fn ended(d: &Arc<Daemon>, upstream: &str, calls: &[CallDigest]) {
     let now = d.clock.now();
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -10,6 +10,7 @@
 use super::payload::Payload;
 use super::send::{Patience, send};
 use super::story::{Choose, Missed};
+use super::trial::{self, Permit, Trial};
 use crate::daemon::services::Target;
 use crate::daemon::{Daemon, liveness, quarantine};
 use cicadashift_core::config::Route;
@@ -129,6 +130,10 @@
     /// A failure that an upstream answered, for the caller if nothing better
     /// comes.
     failure: Option<Answer>,
+    /// When the call was found to be in doubt: it may end upstreams.
+    doubted: Option<Instant>,
+    /// Held while the call is the one trial of the fleet.
+    trial: Option<Trial>,
 }
 
 impl SoFar {
@@ -143,6 +148,7 @@
         Patience {
             link: if self.links_busy < LINKS_ASKED { LINK_BUSY_MOST } else { Duration::MAX },
             slot: if asks_free { Duration::ZERO } else { Duration::MAX },
+            is_trial: self.trial.is_some(),
         }
     }
 
@@ -181,9 +187,19 @@
     let mut so_far = SoFar::default();
     loop {
         let now = d.clock.now();
-        if let Some((reason, wait)) = is_over(d, &work, &so_far, now) {
+        if let Some((reason, wait)) = is_over(&work, &so_far, now) {
             return give_up(d, &work, so_far, reason, wait);
         }
+        if so_far.trial.is_none() {
+            match trial::permit(d, &work, &mut so_far.doubted).await {
+                Permit::Sent => {}
+                Permit::Tried(trial) => so_far.trial = Some(trial),
+                Permit::Refused { retry_after } => {
+                    return give_up(d, &work, so_far, call::QUARANTINED, retry_after);
+                }
+            }
+        }
+        let now = d.clock.now();
         let target = match d.services.choose(&work.service, work.demand(now), now, &so_far.tried) {
             Ok(target) => target,
             Err(_) if so_far.back_to_full() => continue,
@@ -196,7 +212,13 @@
         log_choice(d, &work, &target, so_far.asked());
         let may_have_run = so_far.may_have_run;
         let (attempt, reason) = match attempt(d, &work, &target, &mut payload, &mut so_far).await {
-            Got::Answer(answer) if !answer.is_failure() => return answer.into_response(),
+            Got::Answer(answer) if !answer.is_failure() => {
+                if so_far.trial.is_some() {
+                    // Others wait for this here; the exit daemon's news take longer.
+                    quarantine::ran_well(d, work.digest);
+                }
+                return answer.into_response();
+            }
             Got::Answer(answer) => {
                 so_far.failure = Some(answer);
                 (Attempt::Unknown, "upstream-failed")
@@ -212,6 +234,14 @@
             so_far.links_busy += 1;
         }
         so_far.missed(attempt, reason);
+        if attempt.has_arrived() {
+            so_far.trial = None;
+        }
+        if reason == call::DISPUTED {
+            so_far.tried.retain(|key| *key != target.choice.key);
+            trial::wait_for_news(d, &mut so_far.doubted).await;
+            continue;
+        }
         if let (Attempt::NotRun { retry_after, .. }, call::QUARANTINED) = (attempt, reason) {
             // This daemon has not heard of it yet; another host would run it.
             d.metrics.incr("call.quarantined");
@@ -234,22 +264,9 @@
 }
 
 /// Returns why a call is sent to nobody any more, and when its caller may come back.
-fn is_over(
-    d: &Daemon,
-    work: &Work,
-    so_far: &SoFar,
-    now: Instant,
-) -> Option<(&'static str, Duration)> {
-    if now >= work.deadline {
-        return Some(so_far.last_refusal.unwrap_or(("too-late", MIN_RETRY_AFTER)));
-    }
-    match quarantine::standing(d, work.digest) {
-        Standing::Quarantined { left } => {
-            d.metrics.incr("call.quarantined");
-            Some((call::QUARANTINED, left))
-        }
-        Standing::Suspected | Standing::Clear => None,
-    }
+fn is_over(work: &Work, so_far: &SoFar, now: Instant) -> Option<(&'static str, Duration)> {
+    let is_late = now >= work.deadline;
+    is_late.then(|| so_far.last_refusal.unwrap_or(("too-late", MIN_RETRY_AFTER)))
 }
 
 fn decide(
--- a/src/daemon/request/mod.rs
+++ b/src/daemon/request/mod.rs
@@ -19,3 +19,4 @@
 pub mod send;
 pub mod story;
 pub mod tracked;
+pub mod trial;
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -37,11 +37,14 @@
     pub link: Duration,
     /// For a slot of the upstream.
     pub slot: Duration,
+    /// Whether it is the one trial of a call that may end upstreams.
+    pub is_trial: bool,
 }
 
 impl Patience {
     /// As long as there is time.
-    pub const LAST: Patience = Patience { link: Duration::MAX, slot: Duration::MAX };
+    pub const LAST: Patience =
+        Patience { link: Duration::MAX, slot: Duration::MAX, is_trial: false };
 }
 
 /// Sends a call to a chosen upstream and reads its answer as far as it is held.
@@ -215,6 +218,7 @@
         // retries at nine levels add up instead of multiplying.
         attempts: work.allowed.saturating_sub(1).max(1),
         version: work.version,
+        is_trial: patience.is_trial,
     }
 }
 
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -43,3 +43,6 @@
 pub fn quarantine(call: CallDigest) -> String {
     format!("{QUARANTINE}{call}")
 }
+
+/// The key that the one daemon holds, under a lease, that tries a quarantined call.
+pub const TRIAL: &str = "cicadashift/trial";
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -187,6 +187,43 @@
     });
 }
 
+#[test]
+fn calls_beside_two_ends_of_a_fresh_fleet_are_served_again() {
+    // The fleet has just started, so that no call has run well anywhere. Two reads that
+    // everybody asks for are at both instances when these end, through no fault of
+    // either. Both are suspected of two ends, and since a quarantined call is sent to
+    // nobody, no good run can ever clear them: callers would be refused for ten minutes.
+    run(async {
+        let fleet = serving(2).await;
+        fleet.nodes.iter().for_each(|node| node.instance.set_work(Duration::from_millis(300)));
+        let paths = ["/notices/popular-1", "/notices/popular-2"];
+        let asking: Vec<_> = (0..16)
+            .map(|n| {
+                let (caller, id) = (fleet.caller(n % 2), format!("cold-{n}"));
+                exec::spawn(async move { caller.call(Method::GET, paths[n / 2 % 2], &id).await })
+            })
+            .collect();
+        smol::Timer::after(Duration::from_millis(100)).await;
+        fleet.nodes.iter().for_each(|node| node.instance.end());
+        for call in asking {
+            call.await;
+        }
+        fleet.nodes.iter().for_each(|node| node.instance.set_work(Duration::from_millis(2)));
+        all_back(&fleet, 2).await;
+        for path in paths {
+            let served = async |fleet: &HostedFleet| {
+                let id = format!("again-{:08x}", fastrand::u32(..));
+                fleet.status(1, path, &id).await == Some(200)
+            };
+            assert!(fleet.wait(served).await, "{path}: {}", fleet.log(1));
+        }
+        for n in 0..20 {
+            let id = format!("then-{n}");
+            assert_eq!(fleet.status(n % 2, paths[n / 2 % 2], &id).await, Some(200));
+        }
+    });
+}
+
 #[test]
 fn instances_that_end_by_themselves_make_no_request_guilty() {
     // All instances of a failure domain end at once, without any request to blame, under
