Presume a failure domain silent of which nothing is heard

Ruled out: slow membership (it suspects within seconds by design); kills (their connections break at once).

Change: two silent hosts of another domain of which nothing was heard for 450 ms make all of it silent until one is heard.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -18,5 +18,6 @@
 
 pub mod detector;
 pub mod gossip;
+pub mod liveness;
 pub mod record;
 pub mod table;
--- a/src/daemon/liveness.rs
+++ b/src/daemon/liveness.rs
@@ -1,25 +1,15 @@
-//! Whether the hosts that calls are under way to still give signs of life.
+//! Signs of life of other hosts, as they come and are missed.
 //!
-//! Membership finds a dead daemon within seconds. A call that is under way to a
-//! host which was cut off or frozen cannot wait for that. Whatever comes from a
-//! host counts as a sign; where none came for a while, it is pinged, and where
-//! that brings nothing either it gets no calls until something comes from it.
+//! [`cicadashift_core::membership::liveness`] decides what they mean.
 
 use super::{Daemon, gossip, lock};
 use cicadashift_core::ids::HostKey;
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use cicadashift_core::membership::liveness::Look;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Time between two looks while a call is under way.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// Silence after which a host is pinged. Most calls are answered in less.
-const PING_AFTER: Duration = Duration::from_millis(150);
-/// Time between two pings of a host that has not answered.
-const PING_EVERY: Duration = Duration::from_millis(75);
-/// Time without an answer after which a host is taken for cut off or frozen. At
-/// least three pings were sent in it, one of which may have been lost.
-const SILENT_AFTER: Duration = Duration::from_millis(450);
 /// Time that a call waits itself before it counts its host as silent.
 const OWN_WAIT: Duration = Duration::from_millis(300);
 /// Gap between two rounds of gossip, which come every 200 ms, that means that
@@ -29,96 +19,21 @@
 /// a second.
 const PINGED_AT_ONCE: usize = 8;
 
-#[derive(Clone, Copy)]
-struct Signs {
-    /// When something last came from it.
-    heard: Instant,
-    /// When the first call or ping was sent that nothing followed.
-    asked: Option<Instant>,
-    pinged: Instant,
-    silent: bool,
-}
-
-impl Signs {
-    fn new(now: Instant) -> Signs {
-        Signs { heard: now, asked: None, pinged: now, silent: false }
-    }
-
-    /// Says what is to be done about a host that a call is under way to.
-    fn look(&mut self, now: Instant) -> Look {
-        let quiet = now.saturating_duration_since(self.heard) >= PING_AFTER;
-        let unanswered = self.asked.map(|at| now.saturating_duration_since(at));
-        if unanswered.is_some_and(|time| time >= SILENT_AFTER) {
-            return Look::Silent;
-        }
-        if quiet && now.saturating_duration_since(self.pinged) >= PING_EVERY {
-            self.pinged = now;
-            self.asked.get_or_insert(now);
-            return Look::Ping;
-        }
-        Look::Wait
-    }
-}
-
-enum Look {
-    Wait,
-    Ping,
-    Silent,
-}
-
-/// Signs of life by host.
-#[derive(Default)]
-pub struct Liveness {
-    by_host: Mutex<HashMap<HostKey, Signs>>,
-}
-
-impl Liveness {
-    /// Notes that a call was sent to a host.
-    pub fn asked(&self, host: HostKey, now: Instant) {
-        let mut by_host = lock(&self.by_host);
-        by_host.entry(host).or_insert_with(|| Signs::new(now)).asked.get_or_insert(now);
-    }
-
-    /// Forgets what was not answered, after this daemon stood still: the others
-    /// were not silent, it was deaf.
-    fn forgive(&self, now: Instant) {
-        for signs in lock(&self.by_host).values_mut() {
-            signs.heard = now;
-            signs.asked = None;
-        }
-    }
-
-    fn look(&self, host: HostKey, now: Instant) -> Look {
-        let mut by_host = lock(&self.by_host);
-        by_host.entry(host).or_insert_with(|| Signs::new(now)).look(now)
-    }
-
-    /// Changes whether a host is taken for silent; returns whether that is news.
-    fn set_silent(&self, host: HostKey, silent: bool, now: Instant) -> bool {
-        let mut by_host = lock(&self.by_host);
-        let signs = by_host.entry(host).or_insert_with(|| Signs::new(now));
-        std::mem::replace(&mut signs.silent, silent) != silent
-    }
-
-    fn silent_hosts(&self) -> Vec<HostKey> {
-        let by_host = lock(&self.by_host);
-        by_host.iter().filter(|(_, signs)| signs.silent).map(|(host, _)| *host).collect()
-    }
-}
-
 /// Notes that something came from a host.
 pub fn heard(d: &Daemon, host: HostKey) {
-    let now = d.clock.now();
-    let was_silent = {
-        let mut by_host = lock(&d.liveness.by_host);
-        let signs = by_host.entry(host).or_insert_with(|| Signs::new(now));
-        signs.heard = now;
-        signs.asked = None;
-        std::mem::replace(&mut signs.silent, false)
+    let (was_silent, may_be_presumed) = {
+        let mut liveness = lock(&d.liveness);
+        let was_silent = liveness.heard(host, d.clock.now());
+        (was_silent, was_silent && liveness.is_any_presumed())
     };
-    if was_silent {
-        log::info!("host {} gives signs of life again", d.members.name_of(host));
-        d.services.set_silent(host, false);
+    if !was_silent {
+        return;
+    }
+    log::info!("host {} gives signs of life again", d.members.name_of(host));
+    d.services.set_silent(host, false);
+    if may_be_presumed {
+        let back = lock(&d.liveness).unpresume(&d.members.beside(host));
+        back.into_iter().for_each(|host| d.services.set_silent(host, false));
     }
 }
 
@@ -126,9 +41,9 @@
 /// silent, to find out when they are back.
 pub async fn round(d: &Daemon, since_last: Duration) {
     if since_last >= STOOD_STILL {
-        d.liveness.forgive(d.clock.now());
+        lock(&d.liveness).forgive(d.clock.now());
     }
-    let mut hosts = d.liveness.silent_hosts();
+    let mut hosts = lock(&d.liveness).silent_hosts();
     fastrand::shuffle(&mut hosts);
     for host in hosts.into_iter().take(PINGED_AT_ONCE) {
         gossip::ping(d, host).await;
@@ -147,7 +62,7 @@
     loop {
         smol::Timer::after(LOOK_EVERY).await;
         let now = d.clock.now();
-        match d.liveness.look(host, now) {
+        match look(d, host) {
             Look::Wait => {}
             Look::Ping => gossip::ping(d, host).await,
             Look::Silent => {
@@ -160,10 +75,25 @@
     }
 }
 
+fn look(d: &Daemon, host: HostKey) -> Look {
+    lock(&d.liveness).look(host, d.clock.now())
+}
+
 fn note_silent(d: &Daemon, host: HostKey) {
-    if d.liveness.set_silent(host, true, d.clock.now()) {
-        log::warn!("host {} gives no sign of life and gets no calls", d.members.name_of(host));
-        d.metrics.incr("host.silent");
-        d.services.set_silent(host, true);
+    let now = d.clock.now();
+    if !lock(&d.liveness).found_silent(host, now) {
+        return;
+    }
+    log::warn!("host {} gives no sign of life and gets no calls", d.members.name_of(host));
+    d.metrics.incr("host.silent");
+    d.services.set_silent(host, true);
+    if !d.members.is_far(host) {
+        return;
+    }
+    let presumed = lock(&d.liveness).presume(&d.members.beside(host), now);
+    if !presumed.is_empty() {
+        let count = presumed.len();
+        log::warn!("nothing is heard of its failure domain: {count} more hosts get no calls");
+        presumed.into_iter().for_each(|host| d.services.set_silent(host, true));
     }
 }
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -265,6 +265,14 @@
         Some(if record.domain == self.domain { record.near } else { record.far })
     }
 
+    /// Returns the hosts of another one's failure domain, that one included.
+    pub fn beside(&self, host: HostKey) -> Vec<HostKey> {
+        let inner = lock(&self.inner);
+        let domain = inner.table.get(host).map(|record| record.domain.as_str());
+        let beside = inner.table.iter().filter(|record| Some(record.domain.as_str()) == domain);
+        beside.map(|record| record.host).collect()
+    }
+
     /// Returns whether a host is known to be in another failure domain.
     pub fn is_far(&self, host: HostKey) -> bool {
         let inner = lock(&self.inner);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -41,6 +41,7 @@
 use crate::settings::{InterfaceKind, Settings};
 use crate::store::{Client, Lease, keys};
 use cicadashift_core::ids::{HostKey, Incarnation};
+use cicadashift_core::membership::liveness::Liveness;
 use cicadashift_core::request::link::Link;
 use cicadashift_edge::interface::{Dialect, Document, Interface, Malformed};
 use cicadashift_http::ahead::Target;
@@ -116,7 +117,7 @@
     /// Membership.
     pub members: members::Members,
     /// Signs of life of other hosts.
-    pub liveness: liveness::Liveness,
+    pub liveness: Mutex<Liveness>,
     /// Callers that were sent away.
     pub callers: callers::Callers,
     /// Calls that end the upstreams which run them.
@@ -328,7 +329,7 @@
             metrics: Metrics::new(settings.metrics)?,
             versions: versions::Versions::new(&settings, me, life, clock.clone()),
             members: members::Members::new(&settings, me, life, ports.mesh, clock.now()),
-            liveness: liveness::Liveness::default(),
+            liveness: Mutex::default(),
             callers: callers::Callers::default(),
             quarantine: quarantine::Quarantine::default(),
             services: services::Services::new(settings.choice),
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -6,7 +6,7 @@
 use super::{exit, headers};
 use crate::daemon::costs::Purpose;
 use crate::daemon::services::{Flight, Target};
-use crate::daemon::{Daemon, liveness, quarantine};
+use crate::daemon::{Daemon, liveness, lock, quarantine};
 use cicadashift_core::request::choose::{Outcome, Place, Told};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::Attempt;
@@ -65,7 +65,7 @@
         flight.end(Outcome::Unreached);
         return Got::None(Attempt::unreached(), "unreached");
     };
-    d.liveness.asked(target.host, started);
+    lock(&d.liveness).asked(target.host, started);
     let cx = context(d, work, target, left, patience, started);
     let req = request(work, body);
     let is_far = target.place == Place::Far;
