Move a service's calls to a new version by order, within a bound that the fleet keeps

Change: core/rollout decides (stages, lanes, account, judge, decider), without I/O; daemon/rollouts carries stages in membership's records, counts and limits at the daemon beside each upstream, reports to the one daemon that decides, and keeps each step in the store by compare-and-swap; platform/ translates order and status. docs/ROLLOUTS.md has what was weighed and what is not kept.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod ids;
 pub mod membership;
 pub mod request;
+pub mod rollout;
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -1,6 +1,7 @@
 //! One daemon's description of itself and its upstreams.
 
 use crate::ids::{HostKey, Incarnation};
+use crate::rollout::Stage;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -39,6 +40,8 @@
     pub instance: String,
     /// The service it serves.
     pub service: String,
+    /// Version of its software; empty where it is not told.
+    pub version: String,
     /// Calls it runs at once.
     pub slots: u16,
     /// Whether it takes work.
@@ -70,6 +73,8 @@
     pub reader: bool,
     /// Upstreams on the host.
     pub endpoints: Vec<Endpoint>,
+    /// Rollouts under way or ended, as far as the owner tells others of them.
+    pub rollouts: Vec<Stage>,
 }
 
 impl Record {
--- a/crates/core/src/request/gate.rs
+++ b/crates/core/src/request/gate.rs
@@ -36,6 +36,7 @@
 
 use super::{MIN_RETRY_AFTER, spread};
 use crate::config::Priority;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -103,7 +104,7 @@
 }
 
 /// Names a kind of call.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KindKey(pub u64);
 
 /// Why a call is refused as not run.
@@ -127,6 +128,8 @@
     Quarantined { retry_after: Duration },
     /// It may be the one that ended upstreams; somebody has to try it.
     Disputed { retry_after: Duration },
+    /// Upstreams of another version are to serve it.
+    HeldBack { retry_after: Duration },
 }
 
 impl Refusal {
@@ -138,7 +141,8 @@
             | Refusal::QueueFull { retry_after }
             | Refusal::LinkBusy { retry_after }
             | Refusal::Quarantined { retry_after }
-            | Refusal::Disputed { retry_after } => *retry_after,
+            | Refusal::Disputed { retry_after }
+            | Refusal::HeldBack { retry_after } => *retry_after,
             Refusal::TooLate | Refusal::Draining | Refusal::Gone => MIN_RETRY_AFTER,
         }
     }
@@ -156,6 +160,7 @@
             Refusal::LinkBusy { .. } => "link-busy",
             Refusal::Quarantined { .. } => "quarantined",
             Refusal::Disputed { .. } => "disputed",
+            Refusal::HeldBack { .. } => "held-back",
         })
     }
 }
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -329,5 +329,6 @@
         link_kbps: 0,
         reader: false,
         endpoints: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
--- /dev/null
+++ b/crates/core/tests/rollouts.rs
@@ -0,0 +1,370 @@
+//! Seeded rollouts on the virtual clock: how many calls an unproven version gets, how soon
+//! a bad one is taken back, and how often a good one goes in.
+//!
+//! Thirty hosts, half with an upstream of the old version and half with one of the new,
+//! take 500 calls a second. Daemons hear of a stage up to a second late, reports are lost
+//! one in ten, and the order stands for twelve seconds.
+
+use cicadashift_core::ids::HostKey;
+use cicadashift_core::request::gate::KindKey;
+use cicadashift_core::rollout::account::{Account, Bounds};
+use cicadashift_core::rollout::decide::{Decider, Wish};
+use cicadashift_core::rollout::tally::{Kinds, Report, UpstreamReport};
+use cicadashift_core::rollout::{Lane, Order, Phase, Stage};
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::time::{Duration, Instant};
+
+const SEEDS: u64 = 100;
+const STEP: Duration = Duration::from_millis(20);
+const STEPS: u64 = 600;
+const HOSTS: usize = 30;
+const CALLS_PER_STEP: u64 = 10;
+const BOUNDS: Bounds = Bounds { share: 0.1, slack: 50.0 };
+/// Steps between two reports of a daemon.
+const REPORT_EVERY: u64 = 25;
+const MOST_LATE: u64 = 50;
+
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.0 >> 33
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        self.next() % n
+    }
+
+    fn unit(&mut self) -> f64 {
+        self.next() as f64 / (1_u64 << 31) as f64
+    }
+}
+
+/// What is wrong with the new version.
+#[derive(Clone, Copy, Default)]
+struct Fault {
+    /// Share of its calls that it fails.
+    fails: f64,
+    /// Share of its calls that take so many times as long.
+    slow: (f64, f64),
+    /// Step at which that begins.
+    from: u64,
+    /// Whether only one of the two routes shows it.
+    one_route: bool,
+}
+
+/// What is wrong with hosts, whatever the version: one of the new ones and two of the old
+/// fail four calls in ten.
+#[derive(Clone, Copy, PartialEq)]
+enum Hosts {
+    Well,
+    Faulty,
+}
+
+struct Host {
+    known: Option<Stage>,
+    speed: f64,
+    faulty: bool,
+    sent: u32,
+    quota: u32,
+    epoch: u32,
+    kinds: Kinds,
+    /// Steps at which its calls end.
+    at_work: VecDeque<u64>,
+    closes: Option<u64>,
+}
+
+#[derive(Default)]
+struct Outcome {
+    exposed: u64,
+    all: u64,
+    /// Calls sent to the new version later than five seconds after its fiftieth bad answer.
+    late: u64,
+    bad: u64,
+    fiftieth: Option<u64>,
+    end: Option<(Phase, u64)>,
+    cut: u64,
+}
+
+struct World {
+    random: Random,
+    /// From which the lateness of each daemon's news is drawn.
+    late: u64,
+    fault: Fault,
+    hosts: Vec<Host>,
+    published: Vec<(u64, Stage)>,
+    decider: Decider,
+    writing: Option<(u64, Wish)>,
+    out: Outcome,
+    start: Instant,
+}
+
+fn name(host: usize) -> String {
+    format!("i-{host:02}")
+}
+
+fn is_new(host: usize) -> bool {
+    host >= HOSTS / 2
+}
+
+impl World {
+    fn new(seed: u64, fault: Fault, hosts: Hosts) -> World {
+        let mut random = Random(seed.wrapping_mul(7919) + 1);
+        let start = Instant::now();
+        let order = Order {
+            service: "notice".to_string(),
+            target: "v2".to_string(),
+            revision: 5,
+            duration: Duration::from_secs(12),
+        };
+        let host = |i: usize| Host {
+            known: None,
+            speed: [0.5, 1.0, 1.0, 1.5][random.below(4) as usize],
+            faulty: hosts == Hosts::Faulty && matches!(i, 1 | 7 | 16),
+            sent: 0,
+            quota: 0,
+            epoch: 0,
+            kinds: Kinds::default(),
+            at_work: VecDeque::new(),
+            closes: None,
+        };
+        let hosts = (0..HOSTS).map(host).collect();
+        let decider = Decider::new(order, BOUNDS, start, 0, None, Account::default());
+        let (published, out) = (Vec::new(), Outcome::default());
+        let late = random.next();
+        World { random, late, fault, hosts, published, decider, writing: None, out, start }
+    }
+
+    fn stage(&self) -> Option<Stage> {
+        let phase = self.decider.phase()?.clone();
+        let order = self.decider.order();
+        Some(Stage {
+            service: order.service.clone(),
+            target: order.target.clone(),
+            order: order.revision,
+            step: self.decider.step(),
+            decider: HostKey(0),
+            phase,
+        })
+    }
+
+    fn decide(&mut self, step: u64) {
+        let now = self.start + STEP * step as u32;
+        if let Some((at, wish)) = self.writing.take() {
+            if step < at {
+                self.writing = Some((at, wish));
+                return;
+            }
+            self.decider.written(&wish);
+            if let Wish::Phase(phase, _) = &wish {
+                self.published.extend(self.stage().map(|stage| (step, stage)));
+                if phase.is_end() {
+                    self.out.end = Some((phase.clone(), step));
+                }
+                if *phase == Phase::Completed {
+                    // Old upstreams stop at once.
+                    let old = self.hosts.iter().take(HOSTS / 2);
+                    self.out.cut = old.map(|host| host.at_work.len() as u64).sum();
+                }
+            }
+        }
+        let old: Vec<String> = (0..HOSTS).filter(|host| !is_new(*host)).map(name).collect();
+        if let Some(wish) = self.decider.wish(&old, now) {
+            self.writing = Some((step + 1 + self.random.below(10), wish));
+        }
+    }
+
+    fn hear(&mut self, step: u64) {
+        for (at, stage) in &self.published {
+            for (i, host) in self.hosts.iter_mut().enumerate() {
+                let late = Random(self.late ^ (*at << 8) ^ i as u64).below(MOST_LATE);
+                if step >= at + late
+                    && host.known.as_ref().is_none_or(|known| stage.outranks(known))
+                {
+                    if stage.phase == Phase::Cutover {
+                        host.closes = Some(step + MOST_LATE);
+                    }
+                    host.known = Some(stage.clone());
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, step: u64) {
+        let now = self.start + STEP * step as u32;
+        for i in 0..HOSTS {
+            if (step + i as u64) % REPORT_EVERY != 0 || self.random.below(10) == 0 {
+                continue;
+            }
+            let host = &self.hosts[i];
+            if host.known.is_none() {
+                continue;
+            }
+            let upstream = UpstreamReport {
+                upstream: name(i),
+                is_new: is_new(i),
+                slots: 9,
+                is_warm: true,
+                sent: host.sent,
+                in_flight: host.at_work.len() as u32,
+                is_closed: !is_new(i) && host.closes.is_some_and(|at| step >= at),
+                kinds: host.kinds.clone(),
+            };
+            let report = Report {
+                host: HostKey(i as u64),
+                service: "notice".to_string(),
+                order: 5,
+                epoch: host.epoch,
+                upstreams: vec![upstream],
+            };
+            let quotas = self.decider.report(report, now);
+            let epoch = self.decider.epoch();
+            let host = &mut self.hosts[i];
+            if host.epoch != epoch {
+                (host.epoch, host.sent, host.quota) = (epoch, 0, 0);
+            }
+            for (_, quota) in quotas.0 {
+                host.quota = host.quota.max(quota);
+            }
+        }
+    }
+
+    /// Whether the daemon beside an upstream lets a call in.
+    fn admits(&self, host: usize, step: u64) -> bool {
+        let upstream = &self.hosts[host];
+        let Some(stage) = &upstream.known else { return true };
+        match stage.lane(if is_new(host) { "v2" } else { "v1" }, &name(host)) {
+            Lane::Main => true,
+            Lane::Canary => upstream.sent < upstream.quota,
+            Lane::Held => !is_new(host) && upstream.closes.is_some_and(|at| step < at),
+        }
+    }
+
+    fn call(&mut self, step: u64) {
+        self.out.all += 1;
+        let entry = self.random.below(HOSTS as u64) as usize;
+        let known = self.hosts[entry].known.clone();
+        let random = self.random.next();
+        let lanes = match &known {
+            None => vec![Lane::Main],
+            Some(stage) => vec![stage.lane_of_call(random), Lane::Main],
+        };
+        for lane in lanes {
+            let of = |host: &usize| match &known {
+                // Before an order is known, all upstreams are alike.
+                None => Lane::Main,
+                Some(stage) => stage.lane(if is_new(*host) { "v2" } else { "v1" }, &name(*host)),
+            };
+            let all: Vec<usize> = (0..HOSTS).filter(|host| of(host) == lane).collect();
+            if all.is_empty() {
+                continue;
+            }
+            let host = all[self.random.below(all.len() as u64) as usize];
+            if self.admits(host, step) {
+                return self.run(host, step);
+            }
+        }
+    }
+
+    fn run(&mut self, host: usize, step: u64) {
+        let kind = self.random.below(2);
+        let shows = is_new(host) && step >= self.fault.from && (!self.fault.one_route || kind == 0);
+        let fails_by_host = self.hosts[host].faulty && self.random.unit() < 0.4;
+        let fails = fails_by_host || (shows && self.random.unit() < self.fault.fails);
+        let is_slow = shows && self.random.unit() < self.fault.slow.0;
+        // Twelve uniform numbers make a normal one.
+        let normal: f64 = (0..12).map(|_| self.random.unit()).sum::<f64>() - 6.0;
+        let times = if is_slow { self.fault.slow.1 } else { 1.0 };
+        let ms = 200.0 * (0.6 * normal).exp() * self.hosts[host].speed * times;
+        let took = Duration::from_millis(ms.min(2_000.0) as u64);
+        let upstream = &mut self.hosts[host];
+        upstream.sent += 1;
+        let tally = upstream.kinds.of(KindKey(kind));
+        if fails {
+            tally.failures += 1;
+        } else {
+            tally.answered(took);
+        }
+        upstream.at_work.push_back(step + took.as_millis() as u64 / 20);
+        if is_new(host) {
+            self.out.exposed += 1;
+            self.out.bad += u64::from(shows && (fails || is_slow));
+            if self.out.bad >= 50 {
+                let fiftieth = *self.out.fiftieth.get_or_insert(step);
+                self.out.late += u64::from(step > fiftieth + 250);
+            }
+        }
+    }
+
+    fn play(mut self) -> Outcome {
+        for step in 0..STEPS {
+            for host in &mut self.hosts {
+                host.at_work.retain(|until| *until > step);
+            }
+            self.hear(step);
+            self.report(step);
+            self.decide(step);
+            (0..CALLS_PER_STEP).for_each(|_| self.call(step));
+        }
+        self.out
+    }
+}
+
+// A version is ordered in and its calls are counted from the outside. Whatever is wrong
+// with it, it gets no more than its bound, and nothing five seconds after its fiftieth bad
+// answer; a good one goes in before its time is over, beside faulty hosts too, and no call
+// is at work at an old upstream when it may be stopped.
+#[test]
+fn bad_versions_stay_within_their_bound_and_good_ones_go_in() {
+    let fails = |fails| Fault { fails, ..Fault::default() };
+    let slow = |times| Fault { slow: (1.0, times), ..Fault::default() };
+    let rows = [
+        ("good", Fault::default(), Hosts::Well),
+        ("good, faulty hosts", Fault::default(), Hosts::Faulty),
+        ("fails all", fails(1.0), Hosts::Well),
+        ("fails 3 in 10", fails(0.3), Hosts::Well),
+        ("fails 1 in 10, faulty hosts", fails(0.1), Hosts::Faulty),
+        ("fails 3 in 100", fails(0.03), Hosts::Well),
+        ("8 times slower", slow(8.0), Hosts::Well),
+        ("4 times slower", slow(4.0), Hosts::Well),
+        ("4 in 10 take 8 times", Fault { slow: (0.4, 8.0), ..Fault::default() }, Hosts::Well),
+        ("3 in 10 from 4 s on", Fault { from: 200, ..fails(0.3) }, Hosts::Well),
+        ("3 in 10 of one route", Fault { one_route: true, ..fails(0.3) }, Hosts::Well),
+    ];
+    let mut table = String::new();
+    for (what, fault, hosts) in rows {
+        let (mut completed, mut back, mut late, mut cut) = (0, 0, 0, 0);
+        let (mut worst, mut last) = (0.0_f64, 0);
+        for seed in 0..SEEDS {
+            let out = World::new(seed, fault, hosts).play();
+            let is_bad = fault.fails > 0.0 || fault.slow.0 > 0.0;
+            let most = BOUNDS.share * out.all as f64 + BOUNDS.slack;
+            if is_bad {
+                worst = worst.max(out.exposed as f64 / most);
+            }
+            late += out.late;
+            cut += out.cut;
+            match out.end {
+                Some((Phase::Completed, at)) => {
+                    completed += 1;
+                    last = last.max(at);
+                }
+                Some((_, at)) => {
+                    back += 1;
+                    last = last.max(at);
+                }
+                None => {}
+            }
+        }
+        let at = last as f64 * 0.02;
+        writeln!(
+            table,
+            "{what}: {completed} completed, {back} rolled back, last at {at:.1} s; most {worst:.2} of the bound, {late} late, {cut} cut"
+        )
+        .expect("text");
+    }
+    insta::assert_snapshot!(table);
+}
--- a/crates/core/tests/scenarios/membership.rs
+++ b/crates/core/tests/scenarios/membership.rs
@@ -139,9 +139,11 @@
             .map(|instance| Endpoint {
                 instance: instance.clone(),
                 service: "s".to_string(),
+                version: String::new(),
                 slots: 10,
                 readiness: Readiness::Ready,
             })
             .collect(),
+        rollouts: Vec::new(),
     }
 }
--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -3,6 +3,7 @@
 use cicadashift_core::config::{Config, Selector};
 use cicadashift_core::ids::Version;
 use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::rollout::Order;
 use cicadashift_http::hyper::Method;
 use cicadashift_http::hyper::header::HeaderName;
 use std::collections::BTreeMap;
@@ -44,6 +45,8 @@
     pub start: u64,
     /// The service that it serves.
     pub service: String,
+    /// Version of its software; empty where it does not tell.
+    pub version: String,
     /// Where it serves.
     pub address: SocketAddr,
     /// Calls that it runs at once.
@@ -99,6 +102,28 @@
 
 impl std::error::Error for Malformed {}
 
+/// How far a rollout is, as the operator acts on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutState {
+    /// It is under way.
+    Running,
+    /// The old upstreams may be stopped at once.
+    Completed,
+    /// The new upstreams get nothing.
+    RolledBack,
+}
+
+/// What the operator reads of a rollout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// The service.
+    pub service: String,
+    /// The new version.
+    pub target: String,
+    /// How far it is.
+    pub state: RolloutState,
+}
+
 /// A platform's own way of speaking.
 pub trait Interface: Send + Sync {
     /// Returns the names of headers.
@@ -107,6 +132,26 @@
     /// Returns the key under which the newest configuration lies whole.
     fn config_key(&self) -> &'static str;
 
+    /// Returns the prefix of all keys that operators write, the configuration's and
+    /// those of orders.
+    fn operator_prefix(&self) -> &'static str;
+
+    /// Returns the prefix of the keys of orders to move a service to a new version.
+    fn order_prefix(&self) -> &'static str;
+
+    /// Decodes such an order, which was written at `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    fn order(&self, buf: &[u8], revision: i64) -> Result<Order, Malformed>;
+
+    /// Returns the key of what the operator reads of a service's rollout.
+    fn rollout_status_key(&self, service: &str) -> String;
+
+    /// Encodes what the operator reads of a rollout.
+    fn rollout_status(&self, status: &RolloutStatus) -> Vec<u8>;
+
     /// Decodes a configuration.
     ///
     /// # Errors
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -67,6 +67,7 @@
     manner: Mutex<Manner>,
     work: Mutex<Duration>,
     slots: Mutex<u16>,
+    version: Mutex<String>,
     draining: Mutex<bool>,
     beats: Mutex<bool>,
     sequence: AtomicU64,
@@ -108,6 +109,7 @@
             manner: Mutex::default(),
             work: Mutex::new(Duration::from_millis(2)),
             slots: Mutex::new(9),
+            version: Mutex::new("v1".to_string()),
             draining: Mutex::new(false),
             beats: Mutex::new(true),
             sequence: AtomicU64::new(0),
@@ -163,6 +165,11 @@
         *lock(&self.shared.slots) = slots;
     }
 
+    /// Changes which version of its software it says that it is.
+    pub fn set_version(&self, version: &str) {
+        *lock(&self.shared.version) = version.to_string();
+    }
+
     /// Stops or resumes heartbeats.
     pub fn set_beats(&self, beats: bool) {
         *lock(&self.shared.beats) = beats;
@@ -213,10 +220,11 @@
     /// Sends a heartbeat of any start.
     pub async fn beat_of_start(&self, id: &str, born: u64, sequence: u64, draining: bool) -> bool {
         let slots = *lock(&self.shared.slots);
+        let version = lock(&self.shared.version).clone();
         let state = if draining { "draining" } else { "ready" };
         let mut beat = json!({
             "Address": self.addr,
-            "Info": {"Service": self.service, "Version": "v1", "Zone": "a", "Slots": slots},
+            "Info": {"Service": self.service, "Version": version, "Zone": "a", "Slots": slots},
             "Status": {"State": state, "Seq": sequence, "ColdMs": 0},
         });
         if born != 0 {
--- a/crates/testkit/src/hosted/store.rs
+++ b/crates/testkit/src/hosted/store.rs
@@ -103,6 +103,13 @@
         lock(&self.state).put(key, STANDARD.encode(value), 0);
     }
 
+    /// Returns what a key holds.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = lock(&self.state);
+        let item = state.items.get(key)?;
+        STANDARD.decode(&item.value).ok()
+    }
+
     /// Returns the keys with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = lock(&self.state);
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -7,6 +7,7 @@
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::membership::table::JournalPos;
 use cicadashift_core::request::suspects::Suspicion;
+use cicadashift_core::rollout::tally::{Quotas, Report};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -80,6 +81,8 @@
     Record { rows: Vec<RecordRow> },
     /// These calls are suspected here of ending upstreams; which are there?
     Suspicions(Vec<Suspicion>),
+    /// This is what upstreams of a service answered while it is rolled out.
+    Rollout(Report),
 }
 
 /// How one host fared with an offer or activation.
@@ -121,6 +124,9 @@
     Status(String),
     /// To `Suspicions`: all of them.
     Suspicions(Vec<Suspicion>),
+    /// To `Rollout`: since which step canaries count, and what each may be sent; nothing
+    /// where the daemon does not decide.
+    Quotas(Option<(u32, Quotas)>),
     /// Nothing to say.
     Done,
     /// Cannot be answered, and why.
--- a/crates/wire/tests/mutations.rs
+++ b/crates/wire/tests/mutations.rs
@@ -35,9 +35,11 @@
         endpoints: vec![Endpoint {
             instance: format!("i-{name}"),
             service: "orders".to_string(),
+            version: String::new(),
             slots: 7,
             readiness: Readiness::Ready,
         }],
+        rollouts: Vec::new(),
     }
 }
 
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -3,7 +3,7 @@
 use super::{DONE, MISUSE, NOT_DONE};
 use crate::clock::{Clock, SystemClock};
 use crate::operator::change::{self, Snapshot};
-use crate::operator::{OperatorError, fleet, plan, quarantine, record, report};
+use crate::operator::{OperatorError, fleet, plan, quarantine, record, report, rollouts};
 use crate::store::PlatformError;
 use crate::store::etcd::Etcd;
 use cicadashift_core::config::manifest::Object;
@@ -208,6 +208,12 @@
         }
     }
 
+    /// `rollouts`.
+    pub async fn rollouts(&self) -> Result {
+        let machine = rollouts::list(&self.daemons).await?;
+        Ok(Said { human: rollouts::render(&machine), machine, code: DONE })
+    }
+
     /// `quarantine list`.
     pub async fn list_quarantine(&self) -> Result {
         let machine = quarantine::list(&self.daemons).await?;
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -59,6 +59,13 @@
                 /// Write JSON for machines.
                 optional --json
             }
+            /// Show how far rollouts of new versions are.
+            cmd rollouts {
+                /// Upstream port of a daemon to ask; several may be given.
+                repeated --daemon addr: SocketAddr
+                /// Write JSON for machines.
+                optional --json
+            }
             /// Tell the story of a request from the logs of the daemons that it passed.
             cmd explain {
                 /// The request's id.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -65,6 +65,11 @@
             })
         }
         CicadashiftCmd::Quarantine(flags) => run_quarantine(flags),
+        CicadashiftCmd::Rollouts(flags) => {
+            with_client(Client::new(&[], &flags.daemon, flags.json), async |cx: &Client| {
+                cx.rollouts().await
+            })
+        }
         CicadashiftCmd::Explain(flags) => match explain::explain(&flags.request, &flags.files) {
             Ok(story) => {
                 print!("{story}");
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -178,6 +178,7 @@
         Endpoint {
             instance: self.name.clone(),
             service: state.announced.service.clone(),
+            version: state.announced.version.clone(),
             slots: state.announced.slots,
             readiness: state.announced.readiness,
         }
@@ -216,10 +217,11 @@
         state.gate.set_slots(u32::from(announced.slots));
         let readiness = announced.readiness;
         let slots_changed = state.announced.slots != announced.slots;
+        let version_changed = state.announced.version != announced.version;
         let was = state.announced.readiness;
         let start = if announced.start == 0 { state.announced.start } else { announced.start };
         state.announced = Announcement { readiness: was, start, ..announced };
-        state.take_readiness(readiness) || slots_changed
+        state.take_readiness(readiness) || slots_changed || version_changed
     }
 
     pub(super) fn report(&self, readiness: Readiness, now: Instant) -> bool {
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -62,6 +62,8 @@
         instance: instance.to_string(),
         start: 0,
         service: service.clone(),
+        // Only its own reports tell.
+        version: String::new(),
         address,
         slots: load.rsplit(',').next()?.trim().parse().ok().filter(|slots| *slots > 0)?,
         readiness: Readiness::Ready,
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -9,6 +9,7 @@
 };
 use cicadashift_core::membership::record::{Endpoint, Health, Record};
 use cicadashift_core::membership::table::{Applied, Comparison, JournalPos, Table};
+use cicadashift_core::rollout::Stage;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -83,6 +84,7 @@
             link_kbps: settings.link_mbps.map_or(0, |mbps| (mbps * 1e3) as u32),
             reader: false,
             endpoints: Vec::new(),
+            rollouts: Vec::new(),
         };
         let inner = Inner {
             table: Table::new(own, now),
@@ -137,10 +139,19 @@
         changed
     }
 
+    fn told_rollouts(&self) -> Vec<Stage> {
+        let inner = lock(&self.inner);
+        inner.table.iter().flat_map(|record| &record.rollouts).cloned().collect()
+    }
+
     /// Passes a changed table on to what is derived from it.
     fn changed(&self, d: &Daemon) {
         let live = lock(&self.inner).table.iter().filter(|record| record.is_live()).count();
         self.live.store(live, Ordering::Relaxed);
+        let told: Vec<Stage> = self.told_rollouts();
+        told.iter().for_each(|stage| {
+            d.rollouts.learn(stage, d.clock.now());
+        });
         d.services.sync(d);
     }
 
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -2,6 +2,7 @@
 
 use super::costs::Purpose;
 use super::request::{exit, headers, paced};
+use super::rollouts::decider;
 use super::{Daemon, catch_up, gateway, quarantine, reader, rollout, stage, status};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::witness::Testimony;
@@ -145,6 +146,7 @@
             quarantine::heard(d, &told);
             Response::Suspicions(quarantine::all(d))
         }
+        Ask::Rollout(report) => Response::Quotas(decider::on_report(d, report)),
         Ask::Record { rows } => {
             d.record.add(rows);
             Response::Done
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,6 +28,7 @@
 pub mod record;
 pub mod request;
 pub mod rollout;
+pub mod rollouts;
 pub mod services;
 pub mod source;
 pub mod stage;
@@ -122,6 +123,8 @@
     pub callers: callers::Callers,
     /// Calls that end the upstreams which run them.
     pub quarantine: quarantine::Quarantine,
+    /// Rollouts of new versions.
+    pub rollouts: rollouts::Rollouts,
     /// Upstreams as chosen from here.
     pub services: services::Services,
     /// Upstreams on this host.
@@ -295,6 +298,8 @@
             exec::spawn(source::heartbeats(d.clone())),
             exec::spawn(discovery::run(d.clone())),
             exec::spawn(greet::run(d.clone())),
+            exec::spawn(rollouts::report::run(d.clone())),
+            exec::spawn(rollouts::decider::run(d.clone())),
         ]),
     }
     background
@@ -332,6 +337,7 @@
             liveness: Mutex::default(),
             callers: callers::Callers::default(),
             quarantine: quarantine::Quarantine::default(),
+            rollouts: rollouts::Rollouts::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(),
             link: settings.link_mbps.map(|mbps| Mutex::new(Link::new(mbps))),
@@ -353,6 +359,16 @@
         self.hosted.as_ref().map_or(keys::HEAD, |hosted| hosted.config_key())
     }
 
+    /// Returns the prefix of the keys that operators write.
+    pub fn operator_prefix(&self) -> &'static str {
+        self.hosted.as_ref().map_or(keys::HEAD, |hosted| hosted.operator_prefix())
+    }
+
+    /// Returns whether a key is that of an order to roll a version out.
+    pub fn is_order(&self, key: &str) -> bool {
+        self.hosted.as_ref().is_some_and(|hosted| key.starts_with(hosted.order_prefix()))
+    }
+
     /// Decodes a configuration in the platform's form.
     ///
     /// # Errors
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -60,6 +60,8 @@
     pub route: Arc<Route>,
     /// The service that serves it: the route's, or that of the weighted part.
     pub service: String,
+    /// The service, where it goes to canaries of a new version first.
+    pub without_canaries: Option<String>,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// Names the caller for fairness.
@@ -182,7 +184,7 @@
 }
 
 /// Sends the call until there is something to tell its caller.
-pub async fn run(d: &Arc<Daemon>, work: Work, mut payload: Payload) -> Response<Body> {
+pub async fn run(d: &Arc<Daemon>, mut work: Work, mut payload: Payload) -> Response<Body> {
     d.services.earn(d, &work.service);
     let mut so_far = SoFar::default();
     loop {
@@ -202,6 +204,7 @@
         let now = d.clock.now();
         let target = match d.services.choose(&work.service, work.demand(now), now, &so_far.tried) {
             Ok(target) => target,
+            Err(_) if leave_canaries(&mut work, &mut so_far) => continue,
             Err(_) if so_far.back_to_full() => continue,
             Err(wait) => {
                 let (reason, wait) = so_far.last_refusal.unwrap_or(("no-upstream", wait));
@@ -237,6 +240,9 @@
         if attempt.has_arrived() {
             so_far.trial = None;
         }
+        if leave_canaries(&mut work, &mut so_far) && !attempt.has_arrived() {
+            continue;
+        }
         if reason == call::DISPUTED {
             so_far.tried.retain(|key| *key != target.choice.key);
             trial::wait_for_news(d, &mut so_far.doubted).await;
@@ -263,6 +269,20 @@
     }
 }
 
+/// Sends a call that canaries did not serve on to the upstreams that do; returns whether
+/// it was theirs.
+///
+/// Failure: a new version is bad, or has had all calls that it may get. Symptom: callers
+/// are refused although the old version serves.
+fn leave_canaries(work: &mut Work, so_far: &mut SoFar) -> bool {
+    let Some(service) = work.without_canaries.take() else { return false };
+    work.service = service;
+    // Their keys are of another arena.
+    so_far.tried.clear();
+    so_far.full.clear();
+    true
+}
+
 /// Returns why a call is sent to nobody any more, and when its caller may come back.
 fn is_over(work: &Work, so_far: &SoFar, now: Instant) -> Option<(&'static str, Duration)> {
     let is_late = now >= work.deadline;
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -110,7 +110,12 @@
         None => return headers::plain(StatusCode::REQUEST_TIMEOUT, "body came too slowly\n"),
     };
     let digest = asked_for.digest(&d.key, &head, &mut payload);
-    let service = attempts::pick_part(&route, fastrand::u64(..)).to_string();
+    let part = attempts::pick_part(&route, fastrand::u64(..)).to_string();
+    let canaries = d.rollouts.canaries_for_call(&part, fastrand::u64(..));
+    let (service, without_canaries) = match canaries {
+        Some(canaries) => (canaries, Some(part)),
+        None => (part, None),
+    };
     let repeatable = route.may_repeat(head.method.as_str());
     let objective = first_came + route.objective();
     let deadline = started + time;
@@ -120,6 +125,7 @@
         version,
         route,
         service,
+        without_canaries,
         repeatable,
         caller,
         kind,
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -93,6 +93,9 @@
     if let Some(refusal) = quarantined(&d, &cx) {
         return refuse(&d, &cx, refusal, arrived, Some(&local));
     }
+    if let Err(refusal) = d.rollouts.admit(&d, &local) {
+        return refuse(&d, &cx, refusal, arrived, Some(&local));
+    }
     log_admit(&d, &cx, "run", arrived, Some(&local));
     let expected = Expected::new(&d, kind);
     let res = forward(d, cx, req, local, pass, deadline).await;
@@ -157,6 +160,7 @@
         Some(Err(err)) => {
             let has_ended = ended::after_break(&d, &local, cx.digest).await;
             pass.end(End::Failed, d.clock.now());
+            d.rollouts.observe(&local, KindKey(cx.call_kind), None);
             log::warn!("call {}: upstream {}: {err}", cx.request_id, cx.instance);
             let reason = if has_ended { call::UPSTREAM_ENDED } else { "upstream-broke" };
             return unknown(&d, &cx, StatusCode::BAD_GATEWAY, reason, started, &local);
@@ -164,6 +168,7 @@
         None => {
             local.silent(&d);
             pass.end(End::Failed, d.clock.now());
+            d.rollouts.observe(&local, KindKey(cx.call_kind), None);
             return unknown(&d, &cx, StatusCode::GATEWAY_TIMEOUT, "deadline", started, &local);
         }
     };
@@ -231,11 +236,13 @@
     headers::set(&mut head.headers, call::SERVICE_US, &service.as_micros().to_string());
     let whole = {
         let (d, local, call) = (d.clone(), local.clone(), cx.digest);
+        let (kind, has_failed) = (KindKey(cx.call_kind), head.status.is_server_error());
         Tracked::new(incoming, move |whole| {
             let now = d.clock.now();
             let took = now.saturating_duration_since(started);
             d.metrics.time("upstream.time", took);
             pass.end(if whole { End::Answered(took) } else { End::Failed }, now);
+            d.rollouts.observe(&local, kind, (whole && !has_failed).then_some(took));
             if whole {
                 quarantine::ran_well(&d, call);
             }
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -2,7 +2,7 @@
 
 use super::{Daemon, lock};
 use cicadashift_core::ids::HostKey;
-use cicadashift_core::membership::record::{Health, Record};
+use cicadashift_core::membership::record::{Endpoint, Health, Record};
 use cicadashift_core::request::choose::{
     Choice, Demand, Known, Outcome, Picker, Place, Policy, UpstreamKey,
 };
@@ -82,7 +82,7 @@
         let now = d.clock.now();
         let mut by_service: HashMap<String, Vec<Known>> = HashMap::new();
         for record in d.members.all() {
-            for (service, known) in known(&record, d.me, &d.settings.failure_domain) {
+            for (service, known) in known(d, &record) {
                 by_service.entry(service).or_default().push(known);
             }
         }
@@ -212,11 +212,12 @@
 ///
 /// A leaving or dead daemon's upstreams are left out at once: its host admits
 /// nothing more.
-fn known(record: &Record, me: HostKey, own_domain: &str) -> Vec<(String, Known)> {
+fn known(d: &Daemon, record: &Record) -> Vec<(String, Known)> {
     if !matches!(record.health, Health::Alive | Health::Suspect) {
         return Vec::new();
     }
-    let place = match (record.host == me, record.domain == own_domain) {
+    let is_near = record.domain == d.settings.failure_domain;
+    let place = match (record.host == d.me, is_near) {
         (true, _) => Place::Here,
         (_, true) => Place::Near,
         _ => Place::Far,
@@ -224,7 +225,9 @@
     record
         .endpoints
         .iter()
-        .map(|endpoint| {
+        .filter_map(|endpoint| {
+            let Endpoint { service, version, instance, .. } = endpoint;
+            let name = d.rollouts.lane_of(service, version, instance)?;
             let known = Known {
                 host: record.host,
                 instance: endpoint.instance.clone(),
@@ -233,7 +236,7 @@
                 readiness: endpoint.readiness,
                 doubted: record.health == Health::Suspect,
             };
-            (endpoint.service.clone(), known)
+            Some((name, known))
         })
         .collect()
 }
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -12,12 +12,12 @@
 use super::mesh::MeshError;
 use super::versions::Running;
 use super::{Daemon, gossip, mesh};
-use crate::store::{Change, ClientWatch, Platform, PlatformError, Revision, Watch};
+use crate::store::{Change, ClientWatch, Pair, Platform, PlatformError, Revision, Watch};
 use bytes::Bytes;
 use cicadashift_core::config::Invalid;
 use cicadashift_core::config::compile::Table;
 use cicadashift_core::ids::{HostKey, Version};
-use cicadashift_edge::interface::{Document, Malformed};
+use cicadashift_edge::interface::{Document, Interface, Malformed};
 use cicadashift_wire::rpc::{Request as Ask, Response, Update, UpdateBody};
 use std::fmt;
 use std::net::SocketAddr;
@@ -307,6 +307,7 @@
             *reached = true;
         }
         *pause = PAUSE.0;
+        take_orders_of(d, &changes);
         let newest = changes.into_iter().rev().find_map(|change| match change {
             Change::Put(pair) if pair.key == key => Some(pair),
             _ => None,
@@ -322,18 +323,45 @@
         last_change = Some(now);
         if is_burst {
             let after = let_settle(d, key, pair.revision).await?;
-            watch = d.platform.watch_from(key, after).await?;
+            // Orders that were written meanwhile are not reported any more.
+            read_orders(d).await?;
+            watch = d.platform.watch_from(d.operator_prefix(), after).await?;
         }
     }
 }
 
+/// Takes in the orders of rollouts that were written or taken back.
+fn take_orders_of(d: &Daemon, changes: &[Change]) {
+    for change in changes {
+        match change {
+            Change::Put(pair) if d.is_order(&pair.key) => d.rollouts.take_order(d, pair),
+            Change::Deleted(key) if d.is_order(key) => {
+                d.rollouts.take_back(key.rsplit('/').next().unwrap_or_default());
+            }
+            Change::Put(_) | Change::Deleted(_) => {}
+        }
+    }
+}
+
+/// Reads all orders of rollouts.
+async fn read_orders(d: &Daemon) -> Result<(), PlatformError> {
+    let Some(hosted) = &d.hosted else { return Ok(()) };
+    let pairs = d.platform.list(hosted.order_prefix(), false).await?;
+    d.rollouts.take_orders(d, &pairs);
+    Ok(())
+}
+
 /// Begins to watch the key from what is in force here, or from its first reading.
 async fn begin(d: &Daemon, key: &str) -> Result<ClientWatch, PlatformError> {
     let known = d.versions.document.revision();
     if known > 0 {
-        return d.platform.watch_from(key, known).await;
+        read_orders(d).await?;
+        return d.platform.watch_from(d.operator_prefix(), known).await;
     }
-    let (pairs, watch) = d.platform.list_and_watch(key).await?;
+    let (pairs, watch) = d.platform.list_and_watch(d.operator_prefix()).await?;
+    let is_order = |pair: &&Pair| d.is_order(&pair.key);
+    let orders: Vec<Pair> = pairs.iter().filter(is_order).cloned().collect();
+    d.rollouts.take_orders(d, &orders);
     for pair in pairs.into_iter().filter(|pair| pair.key == key) {
         take(d, Bytes::from(pair.value), pair.revision, "store");
     }
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -76,6 +76,21 @@
     })
 }
 
+/// Returns the rollouts that are known here.
+pub fn rollouts(d: &Daemon) -> Value {
+    let stages = d.rollouts.stages().into_iter().map(|stage| {
+        json!({
+            "service": stage.service,
+            "target": stage.target,
+            "order": stage.order,
+            "step": stage.step,
+            "phase": stage.phase.name(),
+            "decider": d.members.name_of(stage.decider),
+        })
+    });
+    stages.collect::<Vec<_>>().into()
+}
+
 /// Returns the calls that are suspected of ending upstreams, and for how long each is
 /// sent to none.
 pub fn quarantine(d: &Daemon) -> Value {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,7 +1,7 @@
 //! The operators' client: what changes the configuration, and what shows it.
 //!
 //! Changes go to the platform by compare-and-swap ([`change`]); what is in force
-//! is asked of a daemon ([`fleet`], [`quarantine`]); the delivery record is read from the
+//! is asked of a daemon ([`fleet`], [`quarantine`], [`rollouts`]); the delivery record is read from the
 //! platform ([`record`]). [`crate::cli`] turns the command line into calls here.
 
 pub mod change;
@@ -10,6 +10,7 @@
 pub mod quarantine;
 pub mod record;
 pub mod report;
+pub mod rollouts;
 
 use crate::store::PlatformError;
 use cicadashift_core::config::Invalid;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -86,6 +86,9 @@
     /// Repeated attempts that all daemons together may add.
     #[serde(default)]
     pub retries: Retries,
+    /// Calls that a version under rollout may get before it is proven.
+    #[serde(default)]
+    pub rollouts: Exposure,
     /// What is logged, and how.
     #[serde(default)]
     pub log: Log,
@@ -141,6 +144,23 @@
     }
 }
 
+/// Calls that an unproven version may get of all daemons together, while its rollout is
+/// under way.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Exposure {
+    /// Share of the service's calls.
+    pub share: f64,
+    /// Calls beside that share.
+    pub slack: f64,
+}
+
+impl Default for Exposure {
+    fn default() -> Exposure {
+        Exposure { share: 0.1, slack: 50.0 }
+    }
+}
+
 /// Bounds that protect the daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -313,6 +333,14 @@
             let ratio = self.retries.ratio.to_string();
             return Err(field("retries.ratio", ratio, "is not 0 to 1"));
         }
+        if !(0.0..=1.0).contains(&self.rollouts.share) {
+            let share = self.rollouts.share.to_string();
+            return Err(field("rollouts.share", share, "is not 0 to 1"));
+        }
+        if !(0.0..=1e6).contains(&self.rollouts.slack) {
+            let slack = self.rollouts.slack.to_string();
+            return Err(field("rollouts.slack", slack, "is not 0 to 1000000"));
+        }
         if !(0.0..=1e6).contains(&self.retries.slack) {
             let slack = self.retries.slack.to_string();
             return Err(field("retries.slack", slack, "is not 0 to 1000000"));
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -44,5 +44,19 @@
     format!("{QUARANTINE}{call}")
 }
 
+/// Prefix of what was decided on rollouts, by service.
+pub const ROLLOUTS: &str = "cicadashift/rollout/";
+
+/// Returns the key of what was decided on a service's rollout.
+pub fn rollout(service: &str) -> String {
+    format!("{ROLLOUTS}{service}")
+}
+
+/// Returns the key that the one daemon holds, under a lease, that decides on a service's
+/// rollout.
+pub fn decider(service: &str) -> String {
+    format!("cicadashift/decider/{service}")
+}
+
 /// The key that the one daemon holds, under a lease, that tries a quarantined call.
 pub const TRIAL: &str = "cicadashift/trial";
