Answer calls that outlast the stop of their daemon

Change: a call that comes while a daemon stops is given up 200 ms before the stop ends, so that its caller is told (504); the last words of other connections have 0.3 s in place of 1 s, since one process was killed at the end of its grace.

Before: the new test gets no answer; after: 504.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -61,7 +61,7 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Connections kept to one other daemon, for calls and control together.
@@ -76,6 +76,11 @@
 /// Time for the other daemons to hear that this one stops: some rounds of gossip, in
 /// its own failure domain and over the bridges to others.
 const TELL_TIME: Duration = Duration::from_millis(600);
+/// Time before the end of a stop in which answers still leave, so that what is given up
+/// then is heard.
+const STOP_MARGIN: Duration = Duration::from_millis(200);
+/// Time that connections of other daemons and of upstreams have to end after a stop.
+const LAST_WORDS: Duration = Duration::from_millis(300);
 /// Step in which a stopping daemon looks whether calls are left.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
@@ -139,6 +144,8 @@
     pub gateway: gateway::State,
     /// Whether a planned stop has begun.
     pub leaving: AtomicBool,
+    /// When a planned stop ends, once it has begun.
+    stops_at: OnceLock<Instant>,
     /// What it spends on being one of many.
     pub costs: costs::Costs,
     /// Calls in progress, as entry or exit.
@@ -195,6 +202,8 @@
     log::info!("stopping: announcing");
     let times = d.tunable.get();
     let until = d.clock.now() + times.leave + times.finish;
+    // Set once, by the one stop that there is.
+    let _first = d.stops_at.set(until);
     d.leave().await;
     drop(serving.calls_stop);
     let left = until.saturating_duration_since(d.clock.now());
@@ -210,8 +219,8 @@
         task.cancel().await;
     }
     drop(serving.mesh_stop);
-    let last = Duration::from_secs(1);
-    let _all_done = exec::timeout(last, async { (serving.mesh.await, serving.local.await) }).await;
+    let _all_done =
+        exec::timeout(LAST_WORDS, async { (serving.mesh.await, serving.local.await) }).await;
     drop(serving.told);
     log::info!("stopped");
     Ok(())
@@ -345,6 +354,7 @@
             reader: reader::State::default(),
             gateway: gateway::State::default(),
             leaving: AtomicBool::new(false),
+            stops_at: OnceLock::new(),
             costs: costs::Costs::default(),
             calls: AtomicU64::new(0),
             udp,
@@ -381,6 +391,16 @@
         }
     }
 
+    /// Returns until when a call that comes now may take.
+    ///
+    /// Failure: a call comes while the daemon stops, and its answer comes, or leaves by a
+    /// busy link, later than the daemon may live. Symptom: the connection ends without an
+    /// answer. The caller of a call that is given up in time is told so.
+    pub fn latest_end(&self, deadline: Instant) -> Instant {
+        let stops_at = self.stops_at.get().and_then(|at| at.checked_sub(STOP_MARGIN));
+        stops_at.map_or(deadline, |at| at.min(deadline))
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -118,7 +118,7 @@
     };
     let repeatable = route.may_repeat(head.method.as_str());
     let objective = first_came + route.objective();
-    let deadline = started + time;
+    let deadline = d.latest_end(started + time);
     let work = Work {
         request_id,
         digest,
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -42,8 +42,9 @@
     let all = serde_json::to_value(settings).expect("settings are plain data");
     let mut missing = Vec::new();
     for (name, value) in all.as_object().expect("an object") {
-        let below =
-            value.as_object().filter(|_| ["limits", "log", "retries"].contains(&name.as_str()));
+        let below = value
+            .as_object()
+            .filter(|_| ["limits", "log", "retries", "rollouts"].contains(&name.as_str()));
         let names: Vec<String> = match below {
             Some(fields) => fields.keys().map(|field| format!("{name}.{field}")).collect(),
             None => vec![name.clone()],
--- /dev/null
+++ b/tests/stopping.rs
@@ -0,0 +1,42 @@
+//! Requests that come while a daemon stops.
+
+mod common;
+
+use cicadashift_http::exec;
+use cicadashift_http::hyper::Method;
+use cicadashift_testkit::hosted::fleet::{HostedFleet, config};
+use cicadashift_testkit::hosted::store::CONFIG_KEY;
+use common::run;
+use serde_json::json;
+use std::path::Path;
+use std::time::Duration;
+
+#[test]
+fn a_request_that_outlasts_the_stop_of_its_daemon_is_answered() {
+    // A caller's request comes half a second after its daemon was told to stop, and its
+    // upstream answers later than the daemon may live. The daemon must not end under it
+    // without a word: the caller gets a whole answer that says that it may have run, and
+    // can ask elsewhere.
+    run(async {
+        let program = Path::new(env!("CARGO_BIN_EXE_cicadashift"));
+        let fleet = HostedFleet::serving(program, 2).await;
+        let mut slow = config(2, &["/notices/"]);
+        slow["VirtualHosts"][0]["Paths"][0]["TimeoutMs"] = json!(6000);
+        fleet.store.put(CONFIG_KEY, slow.to_string().as_bytes());
+        fleet.change_settings(0, "limits", json!({"leave_ms": 800, "finish_ms": 1200}));
+        fleet.signal(0, "-HUP");
+        let is_taken = async |fleet: &HostedFleet| {
+            fleet.log(0).contains("version 2 is in force") && fleet.log(0).contains("reload (")
+        };
+        assert!(fleet.wait(is_taken).await, "{}", fleet.log(0));
+        fleet.nodes.iter().for_each(|node| node.instance.set_work(Duration::from_millis(2600)));
+        fleet.signal(0, "-TERM");
+        smol::Timer::after(Duration::from_millis(400)).await;
+        let caller = fleet.caller(0);
+        let asking = exec::spawn(async move {
+            caller.call(Method::GET, "/notices/slow", "late-1").await.map(|res| res.status())
+        });
+        let status = asking.await.map(|status| status.as_u16());
+        assert_eq!(status, Some(504), "{}", fleet.log(0));
+    });
+}
