Prove rollouts over restarts, outages of the store and orders taken back

An answer of the decider now changes the counts of the upstreams that were reported only, so that rollouts of two services do not reset each other (found by reading; no test). The staging of configurations is called promotion, since rollout means versions of upstreams now. explain knows the two new reasons.

--- a/crates/core/src/delivery/mod.rs
+++ b/crates/core/src/delivery/mod.rs
@@ -5,7 +5,7 @@
 //! *promised* (the witnesses of the failure domain will name it to anyone who
 //! lost memory) and *active* (a majority of witnesses promised it, so it may be
 //! run). [`node`] decides those states for one daemon, [`witness`] counts the
-//! promises, [`rollout`] decides for a reader when to go on to the next one,
+//! promises, [`promotion`] decides for a reader when to go on to the next one,
 //! [`tree`] says who relays to whom, [`head`] keeps the total order in the
 //! platform, [`store`] keeps objects, and [`stage`] finds what is missing.
 //!
@@ -30,7 +30,7 @@
 pub mod garbage;
 pub mod head;
 pub mod node;
-pub mod rollout;
+pub mod promotion;
 pub mod stage;
 pub mod store;
 pub mod tree;
--- a/crates/core/src/delivery/rollout.rs
+++ b/crates/core/src/delivery/promotion.rs
@@ -26,7 +26,7 @@
 
 /// The state of one version's roll-out in one failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Rollout {
+pub struct Promotion {
     /// The version rolled out.
     pub version: Version,
     offered_at: Instant,
@@ -35,10 +35,14 @@
     refused: BTreeMap<HostKey, String>,
 }
 
-impl Rollout {
+impl Promotion {
     /// Starts the roll-out of a version to the members that are live now.
-    pub fn new(version: Version, live: impl IntoIterator<Item = HostKey>, now: Instant) -> Rollout {
-        Rollout {
+    pub fn new(
+        version: Version,
+        live: impl IntoIterator<Item = HostKey>,
+        now: Instant,
+    ) -> Promotion {
+        Promotion {
             version,
             offered_at: now,
             waiting: live.into_iter().collect(),
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -15,7 +15,7 @@
 //!
 //! Where the deciding daemon is cut off, canaries use up what they were granted and get
 //! no more. Until a daemon hears of an order, new upstreams are ordinary ones: that is why
-//! only a part of the share allowed is granted. docs/ROLLOUTS.md has what was weighed.
+//! only a part of the share allowed is granted. docs/design/ROLLOUTS.md has what was weighed.
 
 pub mod account;
 pub mod decide;
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -206,6 +206,8 @@
         "quarantined" => {
             "upstreams ended under it, and it is sent to none; see `cicadashift quarantine list`"
         }
+        "disputed" => "it may be what ended upstreams, and another daemon was trying it",
+        "held-back" => "another version is to serve it; see `cicadashift rollouts`",
         "upstream-failed" => "the upstream answered with a failure of its own",
         "wrong-answer" => "the upstream sent an answer to another request",
         "shed" => "the upstream said that it was full",
--- a/src/daemon/gateway.rs
+++ b/src/daemon/gateway.rs
@@ -6,7 +6,7 @@
 //! but not its neighbours stays current in this way.
 
 use super::stage::Source;
-use super::{Daemon, lock, mesh, quarantine, rollout};
+use super::{Daemon, lock, mesh, promotion, quarantine};
 use crate::store::{Platform, keys};
 use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::membership::record::Record;
@@ -166,7 +166,7 @@
         d.versions.learn(newest);
         if d.versions.active_version() < newest.version {
             let source = Source::Peers(vec![from]);
-            if let Err(err) = rollout::run(&d, newest, &source).await {
+            if let Err(err) = promotion::run(&d, newest, &source).await {
                 log::warn!("version {} from another failure domain: {err}", newest.version);
             }
         }
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -3,7 +3,7 @@
 use super::costs::Purpose;
 use super::request::{exit, headers, paced};
 use super::rollouts::decider;
-use super::{Daemon, catch_up, gateway, quarantine, reader, rollout, stage, status};
+use super::{Daemon, catch_up, gateway, promotion, quarantine, reader, stage, status};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::witness::Testimony;
 use cicadashift_http::body::{self, Body, BodyError};
@@ -119,9 +119,9 @@
 async fn answer(d: &Arc<Daemon>, message: Ask) -> Response {
     match message {
         Ask::Offer { what, origin, news, rest } => {
-            rollout::on_offer(d, what, origin, news, rest).await
+            promotion::on_offer(d, what, origin, news, rest).await
         }
-        Ask::Activate { what, rest } => rollout::on_activate(d, what, rest).await,
+        Ask::Activate { what, rest } => promotion::on_activate(d, what, rest).await,
         Ask::Fetch { hashes } => stage::on_fetch(d, &hashes),
         Ask::Promise { version } => Response::Testimony(witness(d, Event::PromiseAsked(version))),
         Ask::Floor { host, life } => {
--- a/src/daemon/rollout.rs
+++ b/src/daemon/promotion.rs
@@ -4,7 +4,7 @@
 use super::stage::{self, Source, StageError};
 use super::{Daemon, mesh};
 use cicadashift_core::delivery::node::Event;
-use cicadashift_core::delivery::rollout::{GRACE, Rollout, Step};
+use cicadashift_core::delivery::promotion::{GRACE, Promotion, Step};
 use cicadashift_core::delivery::stage::Scope;
 use cicadashift_core::delivery::tree::{self, Branch, FANOUT};
 use cicadashift_core::ids::{HostKey, Version};
@@ -35,20 +35,20 @@
     let mut others = d.members.others();
     tree::order(&mut others, what.version);
     log::info!("version {}: offered to {} members", what.version, others.len());
-    let mut rollout = Rollout::new(what.version, others.iter().copied(), d.clock.now());
+    let mut promotion = Promotion::new(what.version, others.iter().copied(), d.clock.now());
     let news = d.versions.news(what);
     let offer = |rest| Ask::Offer { what, origin: d.me, news: news.clone(), rest };
     let fates = spread(d, &others, offer, 2 * RELAY_TIME).await;
     for (host, fate) in fates {
         match fate {
-            Fate::Done => rollout.held(host),
-            Fate::Refused(why) => rollout.refused(host, why),
-            Fate::Late => rollout.lost(host),
+            Fate::Done => promotion.held(host),
+            Fate::Refused(why) => promotion.refused(host, why),
+            Fate::Late => promotion.lost(host),
         }
     }
-    draft.staged(d, &others, &rollout);
-    match rollout.step(d.clock.now()) {
-        Step::Withhold => withhold(d, what.version, &rollout),
+    draft.staged(d, &others, &promotion);
+    match promotion.step(d.clock.now()) {
+        Step::Withhold => withhold(d, what.version, &promotion),
         Step::AskPromises | Step::WaitUntil(_) => {
             if promised(d, what.version).await {
                 activate(d, what, &others, &mut draft).await;
@@ -97,8 +97,8 @@
     }
 }
 
-fn withhold(d: &Arc<Daemon>, version: Version, rollout: &Rollout) {
-    for (host, why) in rollout.refusals() {
+fn withhold(d: &Arc<Daemon>, version: Version, promotion: &Promotion) {
+    for (host, why) in promotion.refusals() {
         let name = d.members.get(*host).map_or_else(String::new, |record| record.name);
         log::error!("version {version} is withheld: {name} refused it: {why}");
         d.versions.mark_bad(version, format!("refused by {name}: {why}"));
--- a/src/daemon/reader.rs
+++ b/src/daemon/reader.rs
@@ -5,7 +5,7 @@
 //! Whoever reads without it, such as a reader that was frozen past its end,
 //! learns a true head and can do no harm.
 
-use super::rollout;
+use super::promotion;
 use super::stage::Source;
 use super::{Daemon, lock};
 use crate::store::{Change, Lease, Pair, Platform, PlatformError, Swap, Watch, keys};
@@ -245,7 +245,7 @@
         if what.version <= done && !unfinished {
             continue;
         }
-        if let Err(err) = rollout::run(d, what, &Source::Platform).await {
+        if let Err(err) = promotion::run(d, what, &Source::Platform).await {
             log::error!("version {} is not offered: {err}", what.version);
             if !err.is_bad() {
                 continue;
--- a/src/daemon/record.rs
+++ b/src/daemon/record.rs
@@ -7,7 +7,7 @@
 
 use super::{Daemon, lock, mesh};
 use crate::store::{Platform, keys};
-use cicadashift_core::delivery::rollout::Rollout;
+use cicadashift_core::delivery::promotion::Promotion;
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_wire::rpc::{Fate, RecordRow, Request as Ask, VersionRef};
 use std::collections::{BTreeMap, BTreeSet};
@@ -61,10 +61,10 @@
     }
 
     /// Notes how the offer went.
-    pub fn staged(&mut self, d: &Daemon, offered: &[HostKey], rollout: &Rollout) {
+    pub fn staged(&mut self, d: &Daemon, offered: &[HostKey], promotion: &Promotion) {
         self.row.offered = offered.len() as u32 + 1;
-        for host in offered.iter().filter(|host| !rollout.holding().contains(host)) {
-            let why = rollout.refusals().get(host).map_or("late", |why| why.as_str());
+        for host in offered.iter().filter(|host| !promotion.holding().contains(host)) {
+            let why = promotion.refusals().get(host).map_or("late", |why| why.as_str());
             self.row.late.push((name(d, *host), why.to_string()));
         }
         if self.row.late.is_empty() {
--- a/src/daemon/rollouts/exit.rs
+++ b/src/daemon/rollouts/exit.rs
@@ -93,11 +93,13 @@
         count.clone()
     }
 
-    /// Takes in what the decider allows.
-    pub(super) fn allow(&self, epoch: u32, quotas: Quotas) {
+    /// Takes in what the decider allows these upstreams.
+    pub(super) fn allow(&self, upstreams: &[String], epoch: u32, quotas: Quotas) {
         let mut counts = lock(&self.counts);
-        for count in counts.values_mut().filter(|count| count.epoch != epoch) {
-            (count.epoch, count.sent, count.quota) = (epoch, 0, 0);
+        for upstream in upstreams {
+            if let Some(count) = counts.get_mut(upstream).filter(|count| count.epoch != epoch) {
+                (count.epoch, count.sent, count.quota) = (epoch, 0, 0);
+            }
         }
         for (upstream, quota) in quotas.0 {
             if let Some(count) = counts.get_mut(&upstream) {
--- a/src/daemon/rollouts/report.rs
+++ b/src/daemon/rollouts/report.rs
@@ -38,6 +38,7 @@
 
 async fn tell(d: &Arc<Daemon>, stage: &Stage) {
     let Some(report) = report(d, stage) else { return };
+    let told: Vec<String> = report.upstreams.iter().map(|told| told.upstream.clone()).collect();
     let answer = if stage.decider == d.me {
         decider::on_report(d, report)
     } else {
@@ -49,7 +50,7 @@
         }
     };
     if let Some((epoch, quotas)) = answer {
-        d.rollouts.allow(epoch, quotas);
+        d.rollouts.allow(&told, epoch, quotas);
     }
 }
 
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -6,6 +6,7 @@
 use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::fleet::HostedFleet;
 use cicadashift_testkit::hosted::instance::Manner;
+use cicadashift_testkit::hosted::store::Down;
 use common::run;
 use serde_json::{Value, json};
 use std::path::Path;
@@ -198,3 +199,105 @@
         assert!(statuses.iter().all(|status| *status == Some(200)));
     });
 }
+
+#[test]
+fn a_restart_of_all_daemons_in_the_middle_comes_to_an_end() {
+    // All daemons are killed while canaries are under way, and start again. Nobody
+    // remembers how far it was; the store does. The rollout comes to an end in its time,
+    // and then callers are served.
+    run(async {
+        let mut fleet = two_versions(6).await;
+        let load = Load::start(&fleet, 12);
+        order(&fleet, "v2");
+        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
+        assert!(running.is_some(), "{}", logs(&fleet));
+        smol::Timer::after(Duration::from_secs(1)).await;
+        (0..6).for_each(|i| fleet.kill(i));
+        (0..6).for_each(|i| fleet.restart(i));
+        let started = Instant::now();
+        let has_ended = |state: Option<String>| {
+            state.is_some_and(|state| state == "completed" || state == "rolled_back")
+        };
+        while !has_ended(state(&fleet)) && started.elapsed() < DURATION {
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+        assert!(has_ended(state(&fleet)), "{:?} {}", state(&fleet), logs(&fleet));
+        load.end().await;
+        for n in 0..12 {
+            let served = async |fleet: &HostedFleet| {
+                let id = format!("end-{n}-{:08x}", fastrand::u32(..));
+                fleet.status(n % 6, "/notices/end", &id).await == Some(200)
+            };
+            assert!(fleet.wait(served).await, "{}", logs(&fleet));
+        }
+    });
+}
+
+#[test]
+fn without_the_store_a_bad_version_gets_no_more_than_its_bound() {
+    // The store goes away while canaries are under way, and then the new version begins to
+    // fail. Nothing can be written, so that no status changes; what canaries were granted
+    // is all that they get. Once the store is back it is rolled back.
+    run(async {
+        let fleet = two_versions(6).await;
+        let load = Load::start(&fleet, 12);
+        order(&fleet, "v2");
+        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
+        assert!(running.is_some(), "{}", logs(&fleet));
+        smol::Timer::after(Duration::from_millis(1500)).await;
+        fleet.store.fault(|faults| faults.down = Some(Down::Busy));
+        let (new, old) = (runs(&fleet, true), runs(&fleet, false));
+        for i in (0..6).filter(|i| is_new(*i)) {
+            fleet.nodes[i].instance.set_manner(Manner::Failing);
+        }
+        smol::Timer::after(Duration::from_secs(3)).await;
+        let (new, old) = (runs(&fleet, true) - new, runs(&fleet, false) - old);
+        assert!(new as f64 <= 0.1 * (new + old) as f64 + 50.0, "{new} of {}", new + old);
+        fleet.store.fault(|faults| faults.down = None);
+        let back = until_state(&fleet, "rolled_back", Duration::from_secs(3)).await;
+        assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+        let statuses = load.end().await;
+        let bad = statuses.iter().filter(|status| **status != Some(200)).count();
+        assert_eq!(bad, 0, "of {}", statuses.len());
+    });
+}
+
+#[test]
+fn an_order_that_is_taken_back_ends_its_rollout_and_another_one_may_follow() {
+    // An operator takes an order back while canaries are under way: the new version gets
+    // nothing from then on. The same version, ordered again, goes in.
+    run(async {
+        let fleet = two_versions(6).await;
+        let load = Load::start(&fleet, 12);
+        order(&fleet, "v2");
+        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
+        assert!(running.is_some(), "{}", logs(&fleet));
+        fleet.store.revoke(ORDER);
+        let back = until_state(&fleet, "rolled_back", Duration::from_secs(3)).await;
+        assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+        smol::Timer::after(Duration::from_secs(1)).await;
+        let new = runs(&fleet, true);
+        smol::Timer::after(Duration::from_millis(500)).await;
+        assert_eq!(runs(&fleet, true), new, "{}", logs(&fleet));
+        order(&fleet, "v2");
+        let completed = until_state(&fleet, "completed", DURATION).await;
+        assert!(completed.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+        let statuses = load.end().await;
+        assert!(statuses.iter().all(|status| *status == Some(200)));
+    });
+}
+
+#[test]
+fn versions_that_nobody_ordered_are_ordinary() {
+    // A release starts instances of another version and nobody orders anything: they get
+    // calls as any other, and nothing is written.
+    run(async {
+        let fleet = two_versions(4).await;
+        let load = Load::start(&fleet, 4);
+        smol::Timer::after(Duration::from_secs(1)).await;
+        assert!(runs(&fleet, true) > 0 && runs(&fleet, false) > 0);
+        assert_eq!(fleet.store.keys("cicadashift/rollout"), Vec::<String>::new());
+        let statuses = load.end().await;
+        assert!(statuses.iter().all(|status| *status == Some(200)));
+    });
+}
