--- a/crates/measure/tests/load.rs
+++ b/crates/measure/tests/load.rs
@@ -82,3 +82,13 @@
     assert_eq!(out.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&out.stderr).contains("cannot be read"));
 }
+
+#[test]
+fn callers_that_come_back_keep_their_place_when_all_slots_are_full_for_seconds() {
+    // A fifth more callers than usual and three in ten upstreams emptied: lookups are
+    // refused for twenty seconds, wait as they are told, and come back. Counted as fresh,
+    // they would be served after those who could still be in time; asked of full hosts
+    // first, calls would wait beside a free slot.
+    is_worth("returning", "shifted.toml", 2, 0.015);
+    is_worth("ask_free", "shifted.toml", 2, 0.005);
+}
