Write a grant where it grows by an eighth, and tell it to nobody

Cause (found by reading): each grant was a stage of its own, written and told up to five times a second at 1 400 calls a second, a record to all daemons each time. Only the decider needs it.

Change: a grant is written when it grows by an eighth and 16 calls at least, some thirty times in an order, and stages are told when the phase changes. The test of seeded rollouts asserts what must hold beside its table.

--- a/crates/core/src/rollout/decide.rs
+++ b/crates/core/src/rollout/decide.rs
@@ -41,8 +41,10 @@
 const HISTORY_EVERY: Duration = Duration::from_millis(500);
 /// Answers of the old version in that span below which all of its answers are compared.
 const RECENT_LEAST: u32 = 100;
-/// Growth of the grant that is worth a write.
+/// Growth of the grant that is worth a write: so many calls, and this part of what is
+/// granted, so that an order takes some thirty writes however busy its service is.
 const GRANT_LEAST: u64 = 16;
+const GRANT_PART: u64 = 8;
 
 /// What the decider wants written.
 #[derive(Clone, Debug, PartialEq)]
@@ -261,7 +263,8 @@
             return Some(Wish::Phase(next, Why::Canaries));
         }
         let allowed = self.account.allowed(self.bounds, self.calls_seen());
-        let grows = allowed >= self.account.granted + GRANT_LEAST;
+        let granted = self.account.granted;
+        let grows = allowed >= granted + GRANT_LEAST.max(granted / GRANT_PART);
         (grows && !upstreams.is_empty()).then_some(Wish::Grant(allowed))
     }
 
--- a/crates/core/tests/rollouts.rs
+++ b/crates/core/tests/rollouts.rs
@@ -360,6 +360,17 @@
             }
         }
         let at = last as f64 * 0.02;
+        match what {
+            "good" => assert!(completed >= 99, "{what}: {completed}"),
+            "good, faulty hosts" => assert!(completed >= 95, "{what}: {completed}"),
+            // Too little shows in the calls that the bound allows; the table has how much.
+            "fails 3 in 100" | "4 in 10 take 8 times" => {}
+            _ => {
+                assert!(worst <= 1.0 && late == 0, "{what}: {worst} of the bound, {late} late");
+                assert_eq!(completed, 0, "{what}");
+            }
+        }
+        assert_eq!(cut, 0, "{what}");
         writeln!(
             table,
             "{what}: {completed} completed, {back} rolled back, last at {at:.1} s; most {worst:.2} of the bound, {late} late, {cut} cut"
--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -228,6 +228,10 @@
         // Nothing was written; it is wished again.
         _ => return Ok(()),
     }
+    // A grant concerns the decider alone.
+    if let Wish::Grant(_) = wish {
+        return Ok(());
+    }
     d.rollouts.learn(&kept.stage, d.clock.now());
     publish(d);
     if kept.stage.phase.is_end() {
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -104,6 +104,12 @@
     None
 }
 
+/// Waits until somebody has taken the order on.
+async fn is_running(fleet: &HostedFleet) {
+    let running = until_state(fleet, "running", Duration::from_secs(3)).await;
+    assert!(running.is_some(), "{}", logs(fleet));
+}
+
 fn logs(fleet: &HostedFleet) -> String {
     let lines = (0..fleet.nodes.len()).map(|i| {
         let log = fleet.log(i);
@@ -123,8 +129,7 @@
         let fleet = two_versions(6).await;
         let load = Load::start(&fleet, 12);
         order(&fleet, "v2");
-        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
-        assert!(running.is_some(), "{}", logs(&fleet));
+        is_running(&fleet).await;
         let completed = until_state(&fleet, "completed", DURATION).await;
         assert!(completed.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
         let old = runs(&fleet, false);
@@ -145,8 +150,7 @@
         let fleet = two_versions(6).await;
         order(&fleet, "v2");
         // Until all know of the order a new version is an ordinary one.
-        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
-        assert!(running.is_some(), "{}", logs(&fleet));
+        is_running(&fleet).await;
         smol::Timer::after(Duration::from_secs(1)).await;
         for i in (0..6).filter(|i| is_new(*i)) {
             fleet.nodes[i].instance.set_manner(Manner::Failing);
@@ -173,8 +177,7 @@
         let mut fleet = two_versions(6).await;
         let load = Load::start(&fleet, 12);
         order(&fleet, "v2");
-        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
-        assert!(running.is_some(), "{}", logs(&fleet));
+        is_running(&fleet).await;
         let decides = (0..6).find(|i| fleet.log(*i).contains("decided here"));
         let decides = decides.expect("somebody decides");
         fleet.kill(decides);
@@ -209,8 +212,7 @@
         let mut fleet = two_versions(6).await;
         let load = Load::start(&fleet, 12);
         order(&fleet, "v2");
-        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
-        assert!(running.is_some(), "{}", logs(&fleet));
+        is_running(&fleet).await;
         smol::Timer::after(Duration::from_secs(1)).await;
         (0..6).for_each(|i| fleet.kill(i));
         (0..6).for_each(|i| fleet.restart(i));
@@ -242,8 +244,7 @@
         let fleet = two_versions(6).await;
         let load = Load::start(&fleet, 12);
         order(&fleet, "v2");
-        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
-        assert!(running.is_some(), "{}", logs(&fleet));
+        is_running(&fleet).await;
         smol::Timer::after(Duration::from_millis(1500)).await;
         fleet.store.fault(|faults| faults.down = Some(Down::Busy));
         let (new, old) = (runs(&fleet, true), runs(&fleet, false));
@@ -270,8 +271,7 @@
         let fleet = two_versions(6).await;
         let load = Load::start(&fleet, 12);
         order(&fleet, "v2");
-        let running = until_state(&fleet, "running", Duration::from_secs(3)).await;
-        assert!(running.is_some(), "{}", logs(&fleet));
+        is_running(&fleet).await;
         fleet.store.revoke(ORDER);
         let back = until_state(&fleet, "rolled_back", Duration::from_secs(3)).await;
         assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
