Wait for answers on a busy link before a daemon stops, and for news of a cutover

A stopping daemon counted calls, not their answers that still left by its link for callers at other hosts; it gave connections one second, and since 0.3 s, which made it likelier. Change: the answer to another daemon is counted until it has left; last words are one second again, but end 0.3 s after the time of the stop.

Change: such a call is sent again for 0.7 s.

--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -1,6 +1,7 @@
 //! The port for other daemons: control requests and forwarded calls.
 
 use super::costs::Purpose;
+use super::request::tracked::Counted;
 use super::request::{exit, headers, paced};
 use super::rollouts::decider;
 use super::{Daemon, catch_up, gateway, promotion, quarantine, reader, stage, status};
@@ -99,8 +100,11 @@
     if let Some(value) = req.headers().get(call::CONTEXT) {
         return match Context::from_header(value.as_bytes()) {
             Ok(cx) => {
+                // Failure: a stop waits for calls, and not for their answers on a busy link.
+                // Symptom: the caller's connection breaks in the middle of an answer.
+                let counted = Counted::new(&d);
                 let res = exit::handle(d.clone(), cx, forwarded(req), exit::Origin::Mesh).await;
-                paced::by_link(&d, res)
+                paced::by_link(&d, res).map(|body| body::tied(body, counted))
             }
             Err(err) => headers::plain(StatusCode::BAD_REQUEST, &format!("{err}\n")),
         };
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -79,8 +79,9 @@
 /// Time before the end of a stop in which answers still leave, so that what is given up
 /// then is heard.
 const STOP_MARGIN: Duration = Duration::from_millis(200);
-/// Time that connections of other daemons and of upstreams have to end after a stop.
-const LAST_WORDS: Duration = Duration::from_millis(300);
+/// Time that connections of other daemons and of upstreams have to end after a stop, and
+/// the part of it by which that may outlast the time of the stop.
+const LAST_WORDS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_millis(300));
 /// Step in which a stopping daemon looks whether calls are left.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
@@ -219,8 +220,9 @@
         task.cancel().await;
     }
     drop(serving.mesh_stop);
-    let _all_done =
-        exec::timeout(LAST_WORDS, async { (serving.mesh.await, serving.local.await) }).await;
+    let last = until.saturating_duration_since(d.clock.now()) + LAST_WORDS.1;
+    let last = last.min(LAST_WORDS.0);
+    let _all_done = exec::timeout(last, async { (serving.mesh.await, serving.local.await) }).await;
     drop(serving.told);
     log::info!("stopped");
     Ok(())
--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -45,6 +45,13 @@
 const FULL: &str = "full";
 /// Why a host did not take a large answer on.
 const LINK_BUSY: &str = "link-busy";
+/// Why a host did not take a call on that another version is to serve.
+const HELD_BACK: &str = "held-back";
+/// Time for which a call waits where daemons do not agree yet which version serves: one
+/// hears of a cutover up to half a second before another.
+const STAGE_WAIT: Duration = Duration::from_millis(700);
+/// Time between two tries meanwhile.
+const STAGE_LOOK: Duration = Duration::from_millis(20);
 /// Why an attempt at a host without a sign of life is given up.
 const HOST_SILENT: &str = "host-silent";
 
@@ -134,6 +141,8 @@
     failure: Option<Answer>,
     /// When the call was found to be in doubt: it may end upstreams.
     doubted: Option<Instant>,
+    /// When a host first left it to another version.
+    held_back: Option<Instant>,
     /// Held while the call is the one trial of the fleet.
     trial: Option<Trial>,
 }
@@ -154,6 +163,11 @@
         }
     }
 
+    /// Returns whether a call that was left to another version is sent again.
+    fn may_wait_for_stage(&mut self, now: Instant) -> bool {
+        now < *self.held_back.get_or_insert(now) + STAGE_WAIT
+    }
+
     /// Takes in that a host had no free slot.
     fn was_full(&mut self, key: UpstreamKey) {
         self.full.push(key);
@@ -243,6 +257,11 @@
         if leave_canaries(&mut work, &mut so_far) && !attempt.has_arrived() {
             continue;
         }
+        if reason == HELD_BACK && so_far.may_wait_for_stage(d.clock.now()) {
+            so_far.tried.retain(|key| *key != target.choice.key);
+            smol::Timer::after(STAGE_LOOK).await;
+            continue;
+        }
         if reason == call::DISPUTED {
             so_far.tried.retain(|key| *key != target.choice.key);
             trial::wait_for_news(d, &mut so_far.doubted).await;
