Refuse as not run what a host left to others and cannot be sent again

Cause (found by reading): a call whose body was streamed away and that a host held back or disputed was tried again without its body, and its caller told 502 of what never ran. It is refused as not run now, as after any other refusal. No test: the window needs a streamed body at a canary in the moment of a refusal.

--- a/src/daemon/request/attempts.rs
+++ b/src/daemon/request/attempts.rs
@@ -254,15 +254,18 @@
         if attempt.has_arrived() {
             so_far.trial = None;
         }
-        if leave_canaries(&mut work, &mut so_far) && !attempt.has_arrived() {
+        let has_left_canaries = leave_canaries(&mut work, &mut so_far);
+        // What cannot be sent again is refused below, as not run.
+        let may_be_sent = payload.is_left() && !attempt.has_arrived();
+        if has_left_canaries && may_be_sent {
             continue;
         }
-        if reason == HELD_BACK && so_far.may_wait_for_stage(d.clock.now()) {
+        if reason == HELD_BACK && may_be_sent && so_far.may_wait_for_stage(d.clock.now()) {
             so_far.tried.retain(|key| *key != target.choice.key);
             smol::Timer::after(STAGE_LOOK).await;
             continue;
         }
-        if reason == call::DISPUTED {
+        if reason == call::DISPUTED && may_be_sent {
             so_far.tried.retain(|key| *key != target.choice.key);
             trial::wait_for_news(d, &mut so_far.doubted).await;
             continue;
