Tests of limits that upstreams name, and of leaving by answers: red

Stand-in instances name a limit or that they leave in all answers and keep when requests reached them. A limit that is taken back, and a new start after leaving, hold already and are there to stay so.

--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -55,6 +55,15 @@
     pub has_credentials: bool,
 }
 
+/// A request that reached an instance, whether or not it ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// The request.
+    pub id: String,
+    /// When it came.
+    pub at: Instant,
+}
+
 /// How an instance answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Manner {
@@ -80,6 +89,12 @@
     slots: Mutex<u16>,
     version: Mutex<String>,
     draining: Mutex<bool>,
+    /// What its answers name as its limit, as text.
+    limit: Mutex<Option<String>>,
+    /// Whether its answers say that it leaves.
+    leaving: Mutex<bool>,
+    /// When requests that name this instance reached it.
+    arrivals: Mutex<Vec<Arrival>>,
     beats: Mutex<bool>,
     sequence: AtomicU64,
     /// When it started, in Unix milliseconds of its own clock.
@@ -123,6 +138,9 @@
             slots: Mutex::new(9),
             version: Mutex::new("v1".to_string()),
             draining: Mutex::new(false),
+            limit: Mutex::default(),
+            leaving: Mutex::default(),
+            arrivals: Mutex::default(),
             beats: Mutex::new(true),
             sequence: AtomicU64::new(0),
             born: AtomicU64::new(1),
@@ -183,6 +201,21 @@
         *lock(&self.shared.version) = version.to_string();
     }
 
+    /// Names a limit in all answers, in requests a second, or none any more.
+    pub fn name_limit(&self, per_s: Option<&str>) {
+        *lock(&self.shared.limit) = per_s.map(str::to_string);
+    }
+
+    /// Says in all answers that it leaves, without a heartbeat that does.
+    pub fn name_leaving(&self) {
+        *lock(&self.shared.leaving) = true;
+    }
+
+    /// Returns the requests that reached it.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.shared.arrivals).clone()
+    }
+
     /// Stops or resumes heartbeats.
     pub fn set_beats(&self, beats: bool) {
         *lock(&self.shared.beats) = beats;
@@ -199,6 +232,8 @@
         self.shared.born.store(born, Ordering::Relaxed);
         self.shared.sequence.store(0, Ordering::Relaxed);
         *lock(&self.shared.draining) = false;
+        *lock(&self.shared.leaving) = false;
+        *lock(&self.shared.limit) = None;
         *lock(&self.shared.beats) = true;
         self.beat().await
     }
@@ -326,9 +361,21 @@
 }
 
 async fn handle(shared: Arc<Shared>, req: Request<Body>) -> Response<Body> {
+    let mut res = answer(&shared, req).await;
+    let limit = lock(&shared.limit).clone();
+    if let Some(limit) = limit {
+        set(&mut res, "server-limit", &limit);
+    }
+    if *lock(&shared.leaving) {
+        set(&mut res, "server-leaving", "1");
+    }
+    res
+}
+
+async fn answer(shared: &Arc<Shared>, req: Request<Body>) -> Response<Body> {
     let own = lock(&shared.id).clone();
     if req.uri().path() == "/health" {
-        return health(&shared, &own);
+        return health(shared, &own);
     }
     let (head, incoming) = req.into_parts();
     let text = |name: &str| {
@@ -338,6 +385,7 @@
     if text("x-expect-instance") != own {
         return not_run(StatusCode::MISDIRECTED_REQUEST, &id, &own);
     }
+    lock(&shared.arrivals).push(Arrival { id: id.clone(), at: Instant::now() });
     let manner = *lock(&shared.manner);
     if manner == Manner::Shedding {
         return not_run(StatusCode::SERVICE_UNAVAILABLE, &id, &own);
@@ -356,9 +404,10 @@
         lock(&shared.fatal).push(Fatal { path, id, at: Instant::now() });
         // By itself: a run that has begun ends the instance whether or not its caller
         // stays, and the end drops the connection.
+        let ending = shared.clone();
         let ending = async move {
             smol::Timer::after(work).await;
-            shared.end();
+            ending.end();
         };
         exec::spawn(ending).detach();
         return std::future::pending().await;
