Let instances of the soak name limits and leave by their answers

Two faults more; windows of 4 s of each limit are counted, of what began at daemons to which nothing was done. Seeds draw other faults than before.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -28,6 +28,8 @@
 const CI_SECONDS: u64 = 8;
 /// Seeds that failed once, with the cause.
 const REGRESSIONS: [(u64, &str); 0] = [];
+/// First start that an instance tells, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_771_000_000_000;
 /// How long the store is away before it comes back from a copy.
 const AWAY: Duration = Duration::from_millis(300);
 /// Time in which everything is well again after the last fault.
@@ -38,6 +40,14 @@
 const GUILTY_EVERY: Duration = Duration::from_millis(120);
 /// Instances that it may end before it must be known, and most runs of it after that.
 const GUILTY_FREE: usize = 3;
+/// Limits that instances name.
+const LIMITS: [&str; 4] = ["0.25", "1", "4.2", "20"];
+/// Span in which the requests to an instance that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time after which a limit must be kept, and after which a daemon that passed on an
+/// answer with it is bound by it.
+const LIMIT_KEPT_AFTER: Duration = Duration::from_secs(3);
+const LIMIT_TOLD_AFTER: Duration = Duration::from_millis(500);
 /// Time after which every daemon that nothing was done to must know it.
 const IN_TOUCH: Duration = Duration::from_secs(3);
 
@@ -52,6 +62,31 @@
     }
 }
 
+/// A limit that an instance named, and until when.
+struct Named {
+    i: usize,
+    per_s: f64,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+/// Limits that instances named in a run.
+#[derive(Default)]
+struct Limits {
+    spans: Vec<Named>,
+}
+
+impl Limits {
+    fn name(&mut self, fleet: &HostedFleet, i: usize, text: Option<&str>) {
+        fleet.nodes[i].instance.name_limit(text);
+        let now = Instant::now();
+        let open = self.spans.iter_mut().filter(|span| span.i == i && span.until.is_none());
+        open.for_each(|span| span.until = Some(now));
+        let per_s = text.and_then(|text| text.parse().ok());
+        self.spans.extend(per_s.map(|per_s| Named { i, per_s, from: now, until: None }));
+    }
+}
+
 /// Whoever changes the configuration and keeps the store.
 struct Operator {
     version: u64,
@@ -167,13 +202,16 @@
     let mut story = Vec::new();
     let mut operator = Operator { version: 2, copy: None };
     let mut disturbed = Disturbed::default();
+    let mut limits = Limits::default();
     let until = Instant::now() + time;
     while Instant::now() < until {
-        story.push(fault(&mut fleet, &mut random, &mut operator, &mut disturbed).await);
+        story
+            .push(fault(&mut fleet, &mut random, &mut operator, &mut disturbed, &mut limits).await);
         smol::Timer::after(Duration::from_millis(100 + random.below(500))).await;
     }
     guilty.cancel().await;
     check_guilty(seed, &fleet, &disturbed, &story);
+    check_limits(seed, &fleet, &limits, &disturbed, &story);
     mend(&mut fleet).await;
     let mended = Instant::now();
     for i in 0..DAEMONS {
@@ -261,15 +299,63 @@
     assert!(late.len() <= GUILTY_FREE, "seed {seed}: {late:#?} after {story:?}");
 }
 
+/// Checks that instances got no more than the limits that they named, of what began at
+/// daemons to which nothing was done.
+fn check_limits(
+    seed: u64,
+    fleet: &HostedFleet,
+    limits: &Limits,
+    disturbed: &Disturbed,
+    story: &[String],
+) {
+    let mut checked = 0;
+    for span in &limits.spans {
+        let until = span.until.unwrap_or_else(Instant::now);
+        let arrivals = fleet.nodes[span.i].instance.arrivals();
+        let in_span = |at: Instant| at > span.from && at < until;
+        let own: Vec<_> = arrivals.iter().filter(|arrival| in_span(arrival.at)).collect();
+        let names: BTreeSet<_> = own.iter().map(|arrival| &arrival.instance).collect();
+        for name in names {
+            let mut own = own.iter().filter(|arrival| arrival.instance == *name).peekable();
+            let Some(first) = own.peek().map(|arrival| arrival.at) else { continue };
+            let counted: Vec<Instant> = own
+                .filter(|arrival| arrival.at > first + LIMIT_TOLD_AFTER)
+                .filter(|arrival| disturbed.in_touch(entry_of(&arrival.id), arrival.at))
+                .map(|arrival| arrival.at)
+                .collect();
+            let allowed = 1.5 * span.per_s * LIMIT_WINDOW.as_secs_f64() + 5.0;
+            for end in counted.iter().filter(|at| **at >= first + LIMIT_KEPT_AFTER) {
+                let in_window = |at: &&Instant| **at <= *end && **at + LIMIT_WINDOW > *end;
+                let got = counted.iter().filter(in_window).count();
+                checked += 1;
+                assert!(
+                    got as f64 <= allowed,
+                    "seed {seed}: {name} got {got} at {} a second: {story:?}",
+                    span.per_s
+                );
+            }
+        }
+    }
+    eprintln!("seed {seed}: {} limits named, {checked} windows", limits.spans.len());
+}
+
+/// Returns the daemon at which a request began, by its id.
+fn entry_of(id: &str) -> usize {
+    let caller = id.rsplit('-').nth(1).and_then(|n| n.parse::<usize>().ok());
+    let guilty = id.split(' ').next().and_then(|n| n.parse().ok());
+    caller.or(guilty).map_or(0, |n| n % DAEMONS)
+}
+
 /// Makes one thing go wrong, or well again; says what.
 async fn fault(
     fleet: &mut HostedFleet,
     random: &mut Random,
     operator: &mut Operator,
     disturbed: &mut Disturbed,
+    limits: &mut Limits,
 ) -> String {
     let i = random.below(DAEMONS as u64) as usize;
-    match random.below(16) {
+    match random.below(20) {
         0 => {
             disturbed.once(i);
             fleet.kill(i);
@@ -337,6 +423,23 @@
             "store copied".to_string()
         }
         14 => operator.go_back(fleet).await,
+        15 | 16 => {
+            let text = LIMITS[random.below(LIMITS.len() as u64) as usize];
+            limits.name(fleet, i, Some(text));
+            format!("instance {i} takes {text} a second")
+        }
+        17 => {
+            limits.name(fleet, i, None);
+            format!("instance {i} takes all again")
+        }
+        18 => {
+            fleet.nodes[i].instance.name_leaving();
+            limits.name(fleet, i, None);
+            smol::Timer::after(AWAY).await;
+            let born = FIRST_START_MS + operator.version * 1000 + random.below(1000);
+            fleet.nodes[i].instance.start_again(born).await;
+            format!("instance {i} leaves and starts again")
+        }
         _ => {
             operator.version += 1;
             operator.write(fleet);
@@ -352,6 +455,7 @@
         fleet.signal(i, "-CONT");
         fleet.nodes[i].store_link.cut(false);
         fleet.nodes[i].instance.set_manner(Manner::Good);
+        fleet.nodes[i].instance.name_limit(None);
         if fleet.exit_code(i).is_some() {
             fleet.restart(i);
         }
