Let files of src/daemon import one way

What both sides of a port share is apart now: questions to other daemons (peers) from their answers (mesh), datagrams out (datagrams) from those in (gossip), whom to ask for objects (sources) from staging them, a call (request/work) and our own answers to it (request/refuse) from its attempts, what is known of an upstream's end (gates/end_check) from finding it. No logic is changed. Ruled out: a trait for each side, which would only hide the circle.

--- a/src/daemon/catch_up.rs
+++ b/src/daemon/catch_up.rs
@@ -1,11 +1,11 @@
 //! Joining, finding a floor after a start, and noticing what was missed.
 
-use super::stage::{self, Source};
-use super::{Daemon, mesh, reader};
+use super::sources::{self, Source, current_of, far_readers};
+use super::{Daemon, peers, reader, stage};
 use crate::store::{Platform, keys};
 use cicadashift_core::delivery::node::Event;
 use cicadashift_core::delivery::stage::Scope;
-use cicadashift_core::ids::{HostKey, Version};
+use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::table::Comparison;
 use cicadashift_wire::rpc::{Request as Ask, Response, VersionRef};
 use std::net::SocketAddr;
@@ -18,8 +18,6 @@
 const PAUSE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(1000));
 /// Rounds without an answer of a peer before the platform's roster is read.
 const ROUNDS_ALONE: u32 = 3;
-/// Peers asked for objects besides the reader.
-const PEERS: usize = 3;
 /// Time between two looks whether something was missed.
 const WATCH_EVERY: Duration = Duration::from_millis(1000);
 
@@ -72,7 +70,7 @@
 pub async fn sync_with(d: &Arc<Daemon>, to: SocketAddr) -> bool {
     let (outline, own) = (d.members.outline(), d.members.own());
     let ask = Ask::Sync { outline, records: vec![own] };
-    let answer = mesh::ask(d, to, &ask, ASK_TIME).await;
+    let answer = peers::ask(d, to, &ask, ASK_TIME).await;
     let Ok(Response::Compared { records, wanted, active: _, catalog }) = answer else {
         return false;
     };
@@ -82,7 +80,7 @@
     if records.is_empty() {
         return true;
     }
-    match mesh::ask(d, to, &Ask::Tell { records }, ASK_TIME).await {
+    match peers::ask(d, to, &Ask::Tell { records }, ASK_TIME).await {
         Ok(_) => true,
         Err(err) => {
             log::debug!("{to} was not told what it lacks: {err}");
@@ -98,29 +96,6 @@
     Response::Compared { records, wanted, active, catalog }
 }
 
-/// Returns whom to ask for objects: the reader, then some members.
-pub fn peers(d: &Daemon) -> Source {
-    let mut others = d.members.others();
-    fastrand::shuffle(&mut others);
-    others.sort_by_key(|host| !d.members.get(*host).is_some_and(|record| record.reader));
-    others.truncate(PEERS + 1);
-    let mut out: Vec<_> = others.iter().filter_map(|host| d.members.address(*host)).collect();
-    out.extend(far_readers(d));
-    Source::Peers(out)
-}
-
-/// Returns a version's root by asking members for theirs.
-pub async fn find(d: &Arc<Daemon>, version: Version) -> Option<VersionRef> {
-    let Source::Peers(peers) = peers(d) else { return None };
-    for peer in peers {
-        let what = current_of(d, peer).await;
-        if what.is_some_and(|what| what.version == version) {
-            return what;
-        }
-    }
-    d.versions.known(version)
-}
-
 async fn join(d: &Arc<Daemon>) {
     let mut rounds = 0;
     loop {
@@ -160,7 +135,7 @@
     if d.versions.floor().is_none() {
         smol::future::zip(stage::ask_floor(d), ask_head(d)).await;
     }
-    let Source::Peers(peers) = peers(d) else { return };
+    let Source::Peers(peers) = sources::peers(d) else { return };
     for peer in peers {
         if d.versions.running_version() > 0 {
             return;
@@ -177,7 +152,7 @@
     let readers = near.filter(|record| record.reader).map(|record| record.near);
     let readers: Vec<_> = readers.chain(far_readers(d)).collect();
     for to in readers {
-        let answer = mesh::ask(d, to, &Ask::Head, ASK_TIME).await;
+        let answer = peers::ask(d, to, &Ask::Head, ASK_TIME).await;
         if let Ok(Response::Version(Some(what))) = answer {
             if what.version > 0 {
                 d.versions.learn(what);
@@ -195,28 +170,21 @@
     if active > d.versions.running_version() {
         let what = match d.versions.known(active) {
             Some(what) => Some(what),
-            None => find(d, active).await,
+            None => sources::find(d, active).await,
         };
         if let Some(what) = what {
-            let _logged = stage::hold(d, what, &peers(d), Scope::Selected).await;
+            let _logged = stage::hold(d, what, &sources::peers(d), Scope::Selected).await;
         }
     }
 }
 
-async fn current_of(d: &Arc<Daemon>, to: SocketAddr) -> Option<VersionRef> {
-    match mesh::ask(d, to, &Ask::Current, ASK_TIME).await {
-        Ok(Response::Version(what)) => what,
-        _ => None,
-    }
-}
-
 /// Takes a version for active on a peer's word, and holds it.
 async fn take(d: &Arc<Daemon>, what: VersionRef, from: SocketAddr) {
     if what.version <= d.versions.running_version() {
         return;
     }
     d.versions.learn(what);
-    let Source::Peers(mut sources) = peers(d) else { return };
+    let Source::Peers(mut sources) = sources::peers(d) else { return };
     sources.insert(0, from);
     let source = Source::Peers(sources);
     let held = stage::hold(d, what, &source, Scope::Selected).await;
@@ -226,11 +194,6 @@
     }
 }
 
-fn far_readers(d: &Daemon) -> Vec<SocketAddr> {
-    let far = d.members.far();
-    far.iter().filter(|record| record.reader).map(|record| record.far).collect()
-}
-
 fn jitter(pause: Duration) -> Duration {
     pause.mul_f64(0.5 + fastrand::f64())
 }
--- a/src/daemon/gates/ended.rs
+++ b/src/daemon/gates/ended.rs
@@ -11,6 +11,7 @@
 //! that ends after its answers have left leaves no call behind that could be named, and
 //! one that nothing is sent to is found to have ended by its missing reports.
 
+use super::end_check::{Breaking, Found};
 use super::local::Local;
 use crate::daemon::{Daemon, quarantine};
 use cicadashift_core::ids::CallDigest;
@@ -19,8 +20,8 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// Time after which an address that still takes connections is asked once more, if no
 /// other call runs on there: the system may close the listening socket of a process that
@@ -29,41 +30,6 @@
 /// Time for one connection on the own host.
 const CONNECT_TIME: Duration = Duration::from_millis(200);
 
-/// What is known of an upstream's end.
-#[derive(Default)]
-pub struct EndCheck {
-    /// Calls that broke and wait for the answer.
-    breaking: AtomicUsize,
-    found: smol::lock::Mutex<Found>,
-}
-
-#[derive(Clone, Copy, Default)]
-enum Found {
-    /// Nobody asked.
-    #[default]
-    Nothing,
-    /// It lived when it was asked, beginning at this moment.
-    Alive(Instant),
-    /// It ended.
-    Ended,
-}
-
-/// A call that broke; counted while it waits for what is found.
-struct Breaking<'a>(&'a AtomicUsize);
-
-impl<'a> Breaking<'a> {
-    fn new(count: &'a AtomicUsize) -> Breaking<'a> {
-        count.fetch_add(1, Ordering::Relaxed);
-        Breaking(count)
-    }
-}
-
-impl Drop for Breaking<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Finds out whether an upstream ended when a call at it broke; to be called before the
 /// call is taken off those at work there. The first call that finds it ended takes it
 /// away and lets all of them be suspected.
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -1,7 +1,6 @@
 //! One upstream on this host: what it says of itself, who is at work there and who waits.
 
-use super::LATE_REPORT;
-use super::ended::EndCheck;
+use super::end_check::EndCheck;
 use crate::clock::Clock;
 use crate::daemon::{Daemon, lock};
 use cicadashift_core::ids::CallDigest;
@@ -21,6 +20,10 @@
 
 /// Time without a report after which an upstream is taken for gone.
 const REPORT_LIFE: Duration = Duration::from_secs(5);
+/// Time in which reports of an earlier start of an instance may still arrive: a cut that
+/// heals delivers what it held up some seconds late. One that claims an older start after
+/// that is believed, since its host's clock may have been set back between two starts.
+pub(super) const LATE_REPORT: Duration = Duration::from_secs(5);
 /// Failures to connect in a row after which an upstream is taken for gone.
 const UNREACHED_MOST: u32 = 3;
 
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -1,23 +1,20 @@
 //! Upstreams on this host: which there are ([`Gates`]), admission to each ([`local`]),
 //! and whether one ended ([`ended`]).
 
+mod end_check;
 pub mod ended;
 pub mod local;
 
 use super::{Daemon, lock};
 use cicadashift_core::membership::record::{Endpoint, Readiness};
 use cicadashift_edge::interface::Announcement;
-use local::{Load, Local};
+use local::{LATE_REPORT, Load, Local};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time between two looks at reports.
 const TICK: Duration = Duration::from_millis(250);
-/// Time in which reports of an earlier start of an instance may still arrive: a cut that
-/// heals delivers what it held up some seconds late. One that claims an older start after
-/// that is believed, since its host's clock may have been set back between two starts.
-const LATE_REPORT: Duration = Duration::from_secs(5);
 /// Instances that ended, remembered so that a late report does not bring one
 /// back. One host has one upstream at a time; sixteen lives are hours.
 const ENDED_KEPT: usize = 16;
--- a/src/daemon/gateway.rs
+++ b/src/daemon/gateway.rs
@@ -5,8 +5,8 @@
 //! newest version held whole, and calls that are suspected of ending upstreams. A failure domain that has lost the platform
 //! but not its neighbours stays current in this way.
 
-use super::stage::Source;
-use super::{Daemon, lock, mesh, promotion, quarantine};
+use super::sources::Source;
+use super::{Daemon, lock, peers, promotion, quarantine};
 use crate::store::{Platform, keys};
 use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::membership::record::Record;
@@ -131,7 +131,7 @@
         records,
         newest: d.versions.newest_whole(),
     };
-    let answer = mesh::ask(d, to, &ask, EXCHANGE_TIME).await;
+    let answer = peers::ask(d, to, &ask, EXCHANGE_TIME).await;
     let Ok(Response::Exchanged { life, records, pos, newest }) = answer else {
         lock(&d.gateway.progress).remove(&to);
         return false;
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -1,19 +1,16 @@
 //! Probes and gossip over UDP.
 
-use super::costs::Purpose;
+use super::datagrams::{News, ping, send, send_news, send_to};
 use super::{Daemon, catch_up, limits, liveness, quarantine, source};
 use crate::settings::InterfaceKind;
 use cicadashift_core::ids::HostKey;
-use cicadashift_core::limit::{Grant, Notice, Usage};
 use cicadashift_core::membership::detector::Probe;
 use cicadashift_core::membership::gossip::RECORDS_PER_DATAGRAM;
-use cicadashift_core::membership::record::{Health, Record};
-use cicadashift_core::request::suspects::Suspicion;
+use cicadashift_core::membership::record::Health;
 use cicadashift_http::exec;
 use cicadashift_wire::datagram::{Datagram, Kind, MAX_DATAGRAM};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Time between two looks at what is due while there is news to tell.
@@ -25,8 +22,6 @@
 const LOST_EVERY: Duration = Duration::from_millis(500);
 /// Rounds sent at once when a daemon leaves.
 const FLUSH_ROUNDS: usize = 4;
-/// Bytes of IP and UDP heads, for the count.
-const UDP_HEAD: usize = 28;
 /// Differing digests in a row before tables are compared whole; one or two are
 /// only news under way.
 const DIFFERENCES: u32 = 3;
@@ -77,38 +72,6 @@
     }
 }
 
-/// Asks a member for a sign of life.
-pub async fn ping(d: &Daemon, host: HostKey) {
-    send(d, host, Kind::Ping, Vec::new()).await;
-}
-
-/// Tells a member which version is in force here.
-pub async fn tell(d: &Daemon, host: HostKey) {
-    send(d, host, Kind::News, Vec::new()).await;
-}
-
-/// Tells a member of calls that are suspected of ending upstreams.
-pub async fn tell_suspicions(d: &Daemon, host: HostKey, suspicions: Vec<Suspicion>) {
-    if let Some(to) = d.members.address(host) {
-        send_news(d, (host, to), Kind::News, News { suspicions, ..News::default() }).await;
-    }
-}
-
-/// Tells the keeper of some limits what this daemon saw of them.
-pub async fn tell_usages(d: &Daemon, keeper: HostKey, usages: Vec<Usage>) {
-    if let Some(to) = d.members.address(keeper) {
-        send_news(d, (keeper, to), Kind::News, News { usages, ..News::default() }).await;
-    }
-}
-
-/// Tells a member of limits that are held back.
-pub async fn tell_notice(d: &Daemon, host: HostKey, notice: Notice) {
-    if let Some(to) = d.members.address(host) {
-        let news = News { notice: Some(notice), ..News::default() };
-        send_news(d, (host, to), Kind::News, news).await;
-    }
-}
-
 /// Takes datagrams in until cancelled.
 pub async fn receive(d: Arc<Daemon>) {
     let mut buf = vec![0; MAX_DATAGRAM + 1];
@@ -243,7 +206,7 @@
     }
     if matches!(kind, Kind::Ping | Kind::Ack) {
         compare(d, digest, from, differences);
-        if suspects != quarantine::summary(d) {
+        if suspects != d.quarantine.summary(d.clock.now()) {
             quarantine::differs(d, from);
         }
     }
@@ -257,7 +220,7 @@
     exec::spawn(async move {
         let ask = cicadashift_wire::rpc::Request::Current;
         let time = Duration::from_millis(400);
-        if super::mesh::ask(&d, to, &ask, time).await.is_ok() {
+        if super::peers::ask(&d, to, &ask, time).await.is_ok() {
             send(&d, asker, Kind::AckFor { target }, Vec::new()).await;
         }
     })
@@ -285,59 +248,3 @@
     })
     .detach();
 }
-
-async fn send(d: &Daemon, host: HostKey, kind: Kind, records: Vec<Record>) {
-    if let Some(to) = d.members.address(host) {
-        send_to(d, (host, to), kind, records).await;
-    }
-}
-
-async fn send_to(d: &Daemon, to: (HostKey, SocketAddr), kind: Kind, records: Vec<Record>) {
-    send_news(d, to, kind, News { records, ..News::default() }).await;
-}
-
-/// What rides along with a datagram.
-#[derive(Default)]
-struct News {
-    records: Vec<Record>,
-    suspicions: Vec<Suspicion>,
-    usages: Vec<Usage>,
-    grants: Vec<Grant>,
-    notice: Option<Notice>,
-}
-
-impl News {
-    fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.suspicions.is_empty()
-    }
-
-    fn is_of_limits(&self) -> bool {
-        !self.usages.is_empty() || !self.grants.is_empty() || self.notice.is_some()
-    }
-}
-
-async fn send_news(d: &Daemon, (host, to): (HostKey, SocketAddr), kind: Kind, news: News) {
-    let purpose = match (kind, news.is_empty()) {
-        _ if news.is_of_limits() => Purpose::Limit,
-        (Kind::News, true) => Purpose::Heartbeat,
-        (Kind::News, false) => Purpose::News,
-        _ => Purpose::Probe,
-    };
-    let datagram = Datagram {
-        from: d.me,
-        kind,
-        active: d.versions.active_version(),
-        follows: d.follows.load(Ordering::Relaxed),
-        digest: d.members.digest(),
-        records: news.records,
-        suspects: quarantine::summary(d),
-        suspicions: news.suspicions,
-        usages: news.usages,
-        grants: news.grants,
-        notice: news.notice,
-    };
-    let buf = datagram.encode(&d.key);
-    d.costs.add(purpose, d.members.is_far(host), buf.len() + UDP_HEAD);
-    // A datagram that cannot be sent is one that was lost; probes tell.
-    let _lost = d.udp.send_to(&buf, to).await;
-}
--- a/src/daemon/limits.rs
+++ b/src/daemon/limits.rs
@@ -4,7 +4,7 @@
 //! limits, and keeps some limits itself. `cicadashift_core::limit` has the decisions.
 
 use super::versions::Running;
-use super::{Daemon, gossip, lock};
+use super::{Daemon, datagrams, lock};
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::limit::keeper::{Account, Part};
 use cicadashift_core::limit::share::Share;
@@ -91,7 +91,7 @@
                 true => granted(&d, &reported(&d, &usages)),
                 false => {
                     for part in usages.chunks(USAGES_PER_DATAGRAM) {
-                        gossip::tell_usages(&d, keeper, part.to_vec()).await;
+                        datagrams::tell_usages(&d, keeper, part.to_vec()).await;
                     }
                 }
             }
@@ -197,7 +197,7 @@
         shares.entry(grant.key).or_insert_with(|| Share::new(now)).grant(*grant, now);
     }
     for host in d.members.audience_at_once() {
-        gossip::tell_notice(d, host, notice.clone()).await;
+        datagrams::tell_notice(d, host, notice.clone()).await;
     }
 }
 
--- a/src/daemon/liveness.rs
+++ b/src/daemon/liveness.rs
@@ -2,7 +2,7 @@
 //!
 //! [`cicadashift_core::membership::liveness`] decides what they mean.
 
-use super::{Daemon, gossip, lock};
+use super::{Daemon, datagrams, lock};
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::liveness::Look;
 use std::sync::Arc;
@@ -46,7 +46,7 @@
     let mut hosts = lock(&d.liveness).silent_hosts();
     fastrand::shuffle(&mut hosts);
     for host in hosts.into_iter().take(PINGED_AT_ONCE) {
-        gossip::ping(d, host).await;
+        datagrams::ping(d, host).await;
     }
 }
 
@@ -64,7 +64,7 @@
         let now = d.clock.now();
         match look(d, host) {
             Look::Wait => {}
-            Look::Ping => gossip::ping(d, host).await,
+            Look::Ping => datagrams::ping(d, host).await,
             Look::Silent => {
                 note_silent(d, host);
                 if now.saturating_duration_since(started) >= OWN_WAIT {
--- a/src/daemon/promotion.rs
+++ b/src/daemon/promotion.rs
@@ -1,8 +1,9 @@
 //! Rolling a version out to a failure domain, and the relays' part in it.
 
 use super::record::RowDraft;
-use super::stage::{self, Source, StageError};
-use super::{Daemon, mesh};
+use super::sources::Source;
+use super::stage::{self, StageError};
+use super::{Daemon, peers};
 use cicadashift_core::delivery::node::Event;
 use cicadashift_core::delivery::promotion::{GRACE, Promotion, Step};
 use cicadashift_core::delivery::stage::Scope;
@@ -167,7 +168,7 @@
     let mut branch = branch;
     loop {
         let answer = match d.members.address(branch.child) {
-            Some(to) => mesh::ask(d, to, &with_rest(&ask, &branch.rest), time).await.ok(),
+            Some(to) => peers::ask(d, to, &with_rest(&ask, &branch.rest), time).await.ok(),
             None => None,
         };
         if let Some(Response::Fates(below)) = answer {
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -8,8 +8,7 @@
 //! Bytes told grow with the ends of upstreams, not with calls: some 30 for each call that
 //! was at one, twice to seven daemons from each that hears it first.
 
-use super::request::trial::Trials;
-use super::{Daemon, gossip, lock, mesh};
+use super::{Daemon, datagrams, lock, peers};
 use crate::store::{Platform, PlatformError, Swap, keys};
 use cicadashift_core::ids::{CallDigest, StartKey};
 use cicadashift_core::membership::gossip::Queue;
@@ -59,6 +58,13 @@
     pub trials: Trials,
 }
 
+/// Trials that this daemon begins.
+#[derive(Default)]
+pub struct Trials {
+    /// When it may ask for the key next.
+    pub next: smol::lock::Mutex<Option<Instant>>,
+}
+
 impl Default for Quarantine {
     fn default() -> Quarantine {
         Quarantine {
@@ -72,6 +78,21 @@
     }
 }
 
+impl Quarantine {
+    /// Returns a number that is the same at daemons that know the same.
+    pub fn summary(&self, now: Instant) -> u64 {
+        let mut summary = lock(&self.summary);
+        match *summary {
+            Some((at, summary)) if now < at + SUMMARY_FOR => summary,
+            _ => {
+                let fresh = lock(&self.suspects).summary(now);
+                *summary = Some((now, fresh));
+                fresh
+            }
+        }
+    }
+}
+
 /// Returns what is known against a call.
 pub fn standing(d: &Daemon, call: CallDigest) -> Standing {
     lock(&d.quarantine.suspects).standing(call, d.clock.now())
@@ -127,20 +148,6 @@
     !lock(&d.quarantine.suspects).is_empty()
 }
 
-/// Returns a number that is the same at daemons that know the same.
-pub fn summary(d: &Daemon) -> u64 {
-    let now = d.clock.now();
-    let mut summary = lock(&d.quarantine.summary);
-    match *summary {
-        Some((at, summary)) if now < at + SUMMARY_FOR => summary,
-        _ => {
-            let fresh = lock(&d.quarantine.suspects).summary(now);
-            *summary = Some((now, fresh));
-            fresh
-        }
-    }
-}
-
 /// Compares with a daemon whose summary differs, unless that was done a moment ago, or
 /// the difference is news under way.
 pub fn differs(d: &Arc<Daemon>, to: SocketAddr) {
@@ -162,7 +169,7 @@
 /// Tells a daemon all that is known and hears what it knows.
 pub async fn compare_with(d: &Arc<Daemon>, to: SocketAddr) {
     let ask = Ask::Suspicions(all(d));
-    match mesh::ask(d, to, &ask, COMPARE_TIME).await {
+    match peers::ask(d, to, &ask, COMPARE_TIME).await {
         Ok(Response::Suspicions(told)) => heard(d, &told),
         Ok(_) => log::debug!("{to} does not say which calls it suspects"),
         Err(err) => log::debug!("{to} was not asked which calls it suspects: {err}"),
@@ -290,7 +297,7 @@
     let audience = d.members.audience_at_once();
     for part in news.chunks(PER_DATAGRAM) {
         for host in &audience {
-            gossip::tell_suspicions(d, *host, part.to_vec()).await;
+            datagrams::tell_suspicions(d, *host, part.to_vec()).await;
         }
     }
     !news.is_empty()
--- a/src/daemon/reader.rs
+++ b/src/daemon/reader.rs
@@ -6,7 +6,7 @@
 //! learns a true head and can do no harm.
 
 use super::promotion;
-use super::stage::Source;
+use super::sources::Source;
 use super::{Daemon, lock};
 use crate::store::{Change, Lease, Pair, Platform, PlatformError, Revision, Swap, Watch, keys};
 use cicadashift_core::delivery::head::Head;
--- a/src/daemon/record.rs
+++ b/src/daemon/record.rs
@@ -5,7 +5,7 @@
 //! by version and domain, so that whoever writes them, however often, they are
 //! there once.
 
-use super::{Daemon, lock, mesh};
+use super::{Daemon, lock, peers};
 use crate::store::{Platform, keys};
 use cicadashift_core::delivery::promotion::Promotion;
 use cicadashift_core::ids::{HostKey, Version};
@@ -105,7 +105,8 @@
             let Some(to) = d.members.address(host) else { continue };
             let (d, rows) = (d.clone(), vec![row.clone()]);
             cicadashift_http::exec::spawn(async move {
-                let _other_copies_exist = mesh::ask(&d, to, &Ask::Record { rows }, COPY_TIME).await;
+                let _other_copies_exist =
+                    peers::ask(&d, to, &Ask::Record { rows }, COPY_TIME).await;
             })
             .detach();
         }
@@ -201,7 +202,7 @@
     let readers = d.members.others().into_iter().filter_map(|host| d.members.get(host));
     let Some(reader) = readers.into_iter().find(|record| record.reader) else { return };
     let ask = Ask::Record { rows: rows.clone() };
-    if mesh::ask(d, reader.near, &ask, COPY_TIME).await.is_ok() {
+    if peers::ask(d, reader.near, &ask, COPY_TIME).await.is_ok() {
         d.record.written(&rows);
     }
 }
--- a/src/daemon/request/attempts/mod.rs
+++ b/src/daemon/request/attempts/mod.rs
@@ -1,19 +1,17 @@
 //! Choosing an upstream, sending the call there, and deciding what follows.
 //!
-//! A call is sent to one upstream after the other. [`work`] is the call, [`so_far`] what is
+//! A call is sent to one upstream after the other. [`so_far`] what is
 //! known after some attempts, [`second`] one attempt with another beside it.
 
 mod second;
 mod so_far;
-mod work;
-
-pub use work::{Work, pick_part};
 
 use super::answer::Got;
-use super::entry::{refuse, unknown};
 use super::payload::Payload;
+use super::refuse::{refuse, unknown};
 use super::story::{log_choice, log_missed};
 use super::trial::{self, Permit};
+use super::work::Work;
 use crate::daemon::{Daemon, quarantine};
 use cicadashift_core::request::MIN_RETRY_AFTER;
 use cicadashift_core::request::retry::{Attempt, Call, Verdict};
--- a/src/daemon/request/attempts/second.rs
+++ b/src/daemon/request/attempts/second.rs
@@ -5,11 +5,11 @@
 //! first whole answer is passed on.
 
 use super::so_far::SoFar;
-use super::work::Work;
 use crate::daemon::request::answer::Got;
 use crate::daemon::request::payload::Payload;
 use crate::daemon::request::send::{Patience, send};
 use crate::daemon::request::story::{log_choice, log_missed};
+use crate::daemon::request::work::Work;
 use crate::daemon::services::Target;
 use crate::daemon::{Daemon, liveness, quarantine};
 use cicadashift_core::request::retry::{Attempt, Verdict};
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -1,12 +1,13 @@
 //! The entry side of a call: match, check, hold the body.
 
-use super::attempts::{self, Work};
+use super::attempts;
 use super::digest::Asked;
 use super::payload::{MAX_HELD, hold};
 use super::sender::{self, Sender};
 use super::story::Refuse;
 use super::tracked::Counted;
-use super::{headers, paced, story};
+use super::work::{Work, pick_part};
+use super::{headers, paced};
 use crate::daemon::Daemon;
 use crate::daemon::source::CALLER_IDLE_MOST;
 use cicadashift_core::config::Route;
@@ -134,7 +135,7 @@
     };
     let sender = organisation.as_ref().map_or("", |account| account.name.as_str());
     let digest = asked_for.digest(&d.key, &head, sender, &mut payload);
-    let part = attempts::pick_part(&route, fastrand::u64(..)).to_string();
+    let part = pick_part(&route, fastrand::u64(..)).to_string();
     let canaries = d.rollouts.canaries_for_call(&part, fastrand::u64(..));
     let (service, without_canaries) = match canaries {
         Some(canaries) => (canaries, Some(part)),
@@ -330,37 +331,3 @@
     value.hash(&mut hasher);
     hasher.finish()
 }
-
-/// Logs and makes the answer that a routed call did not run.
-pub fn refuse(d: &Daemon, work: &Work, why: &str, wait: Duration) -> Response<Body> {
-    d.metrics.incr("call.refused");
-    log_end(d, work, why, StatusCode::SERVICE_UNAVAILABLE, wait);
-    headers::not_run(why, wait, d.dialect.fractional_retry_after)
-}
-
-/// Logs and makes the answer that a routed call may have run.
-pub fn unknown(d: &Daemon, work: &Work, why: &str) -> Response<Body> {
-    d.metrics.incr("call.unknown");
-    let status = match why {
-        "deadline" | "too-late" => StatusCode::GATEWAY_TIMEOUT,
-        _ => StatusCode::BAD_GATEWAY,
-    };
-    log_end(d, work, why, status, Duration::ZERO);
-    headers::unknown(status, why)
-}
-
-fn log_end(d: &Daemon, work: &Work, why: &str, status: StatusCode, wait: Duration) {
-    let now = d.clock.now();
-    crate::logging::decision(&story::Refuse {
-        kind: "refuse",
-        request: &work.request_id,
-        organisation: &work.organisation,
-        version: work.version,
-        service: &work.service,
-        why,
-        status: status.as_u16(),
-        took_ms: now.saturating_duration_since(work.started).as_millis() as u64,
-        retry_after_ms: wait.as_millis() as u64,
-        config_age_ms: d.versions.document.confirmed_age_ms(now),
-    });
-}
--- a/src/daemon/request/mod.rs
+++ b/src/daemon/request/mod.rs
@@ -7,7 +7,8 @@
 //! admits it and sends it to the upstream. The answer comes back through
 //! [`answer`]. Large answers leave by the host's link in turn, see
 //! [`paced`]. [`headers`], [`payload`], [`digest`] and [`tracked`] are the parts that all of
-//! them use, [`story`] the lines that the log gets.
+//! them use, [`work`] is a call on its way, [`refuse`] what callers are told in place of an
+//! answer, [`story`] the lines that the log gets.
 
 pub mod answer;
 pub mod attempts;
@@ -17,8 +18,10 @@
 pub mod headers;
 pub mod paced;
 pub mod payload;
+pub mod refuse;
 pub mod send;
 pub mod sender;
 pub mod story;
 pub mod tracked;
 pub mod trial;
+pub mod work;
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -1,8 +1,8 @@
 //! One attempt: to the exit side of the upstream's host, and its answer back.
 
 use super::answer::{self, Got};
-use super::attempts::Work;
 use super::tracked::Tracked;
+use super::work::Work;
 use super::{exit, headers};
 use crate::daemon::costs::Purpose;
 use crate::daemon::services::{Flight, Target};
--- a/src/daemon/request/story.rs
+++ b/src/daemon/request/story.rs
@@ -4,7 +4,7 @@
 //! one request, gathered from the daemons it passed, tell its story.
 //! `docs/LOGS.md` lists the fields.
 
-use super::attempts::Work;
+use super::work::Work;
 use crate::daemon::Daemon;
 use crate::daemon::services::Target;
 use cicadashift_core::request::choose::Reason;
--- a/src/daemon/request/trial.rs
+++ b/src/daemon/request/trial.rs
@@ -10,7 +10,7 @@
 //! freezes during its trial loses the key after [`HELD_FOR`], and another one may try
 //! beside it.
 
-use super::attempts::Work;
+use super::work::Work;
 use crate::daemon::{Daemon, quarantine};
 use crate::store::{Lease, Platform, PlatformError, Revision, Swap, keys};
 use cicadashift_core::request::spread;
@@ -29,13 +29,6 @@
 /// doubt write some 250 times a second.
 const TRY_EVERY: Duration = Duration::from_millis(300);
 
-/// Trials that a daemon begins.
-#[derive(Default)]
-pub struct Trials {
-    /// When it may ask for the key next.
-    next: smol::lock::Mutex<Option<Instant>>,
-}
-
 /// Whether a call may be sent now.
 pub enum Permit {
     /// Nothing stands against it.
--- a/src/daemon/rollouts/report.rs
+++ b/src/daemon/rollouts/report.rs
@@ -1,7 +1,7 @@
 //! Telling the decider what the upstreams of this host answered.
 
 use super::decider;
-use crate::daemon::{Daemon, mesh};
+use crate::daemon::{Daemon, peers};
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::rollout::Stage;
 use cicadashift_core::rollout::tally::{Report, UpstreamReport};
@@ -43,7 +43,7 @@
         decider::on_report(d, report)
     } else {
         let Some(to) = d.members.address(stage.decider) else { return };
-        match mesh::ask(d, to, &Ask::Rollout(report), ASK_TIME).await {
+        match peers::ask(d, to, &Ask::Rollout(report), ASK_TIME).await {
             Ok(Response::Quotas(answer)) => answer,
             Ok(_) => return log::debug!("{to} does not decide on {}", stage.service),
             Err(err) => return log::debug!("{to} was not told of {}: {err}", stage.service),
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -9,9 +9,9 @@
 //! weighed.
 
 use super::members::followers_of;
-use super::mesh::MeshError;
+use super::peers::MeshError;
 use super::versions::Running;
-use super::{Daemon, gossip, mesh};
+use super::{Daemon, datagrams, peers};
 use crate::store::{Change, ClientWatch, Pair, Platform, PlatformError, Revision, Watch};
 use bytes::Bytes;
 use cicadashift_core::config::Invalid;
@@ -187,7 +187,7 @@
         return;
     }
     for host in d.members.members_of(&followers, d.me) {
-        gossip::tell(d, host).await;
+        datagrams::tell(d, host).await;
     }
 }
 
@@ -285,7 +285,7 @@
 }
 
 async fn ask(d: &Daemon, to: SocketAddr, held: Version) -> Result<Option<Update>, MeshError> {
-    match mesh::ask(d, to, &Ask::Document { held }, ASK_TIME).await? {
+    match peers::ask(d, to, &Ask::Document { held }, ASK_TIME).await? {
         Response::Document(update) => Ok(update),
         _ => Err(MeshError::Unexpected),
     }
--- a/src/daemon/stage.rs
+++ b/src/daemon/stage.rs
@@ -1,7 +1,8 @@
 //! Fetching what a version needs, from whoever has it, and what follows.
 
 use super::costs::Purpose;
-use super::{Daemon, mesh, versions::Versions};
+use super::sources::{self, Source};
+use super::{Daemon, peers, versions::Versions};
 use crate::store::{Platform, PlatformError, keys};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::stage::{Bad, Next, Scope, Staged};
@@ -28,15 +29,6 @@
 /// Longest wait for a service before an offer is answered as late.
 const SERVICE_WAIT: Duration = Duration::from_millis(500);
 
-/// Where objects come from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// The platform; only readers use it.
-    Platform,
-    /// These peers, in this order.
-    Peers(Vec<SocketAddr>),
-}
-
 /// Why a version is not held.
 #[derive(Debug)]
 pub enum StageError {
@@ -168,7 +160,7 @@
             let (d, ask) = (d.clone(), ask.clone());
             exec::spawn(async move {
                 if let Ok(Response::Testimony(Some(said))) =
-                    mesh::ask(&d, to, &ask, FETCH_TIME).await
+                    peers::ask(&d, to, &ask, FETCH_TIME).await
                 {
                     let actions = d.versions.on(Event::Testified(said));
                     perform(&d, actions, Some(&Source::Peers(vec![to])));
@@ -186,12 +178,12 @@
     exec::spawn(async move {
         let what = match d.versions.known(version) {
             Some(what) => what,
-            None => match super::catch_up::find(&d, version).await {
+            None => match sources::find(&d, version).await {
                 Some(what) => what,
                 None => return,
             },
         };
-        let source = source.unwrap_or_else(|| super::catch_up::peers(&d));
+        let source = source.unwrap_or_else(|| sources::peers(&d));
         let _logged = hold(&d, what, &source, Scope::Selected).await;
     })
     .detach();
@@ -259,7 +251,7 @@
 
 async fn fetch_from(d: &Arc<Daemon>, peer: SocketAddr, hashes: &[ObjectHash]) {
     let ask = Ask::Fetch { hashes: hashes.to_vec() };
-    let objects = match mesh::ask(d, peer, &ask, FETCH_TIME).await {
+    let objects = match peers::ask(d, peer, &ask, FETCH_TIME).await {
         Ok(Response::Objects(objects)) => objects,
         Ok(_) => return,
         Err(err) => return log::debug!("no objects from {peer}: {err}"),
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -1,6 +1,6 @@
 //! What a daemon tells of itself and of the fleet.
 
-use super::{Daemon, mesh, quarantine as suspected};
+use super::{Daemon, peers, quarantine as suspected};
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::request::suspects::Standing;
 use cicadashift_http::exec;
@@ -139,7 +139,7 @@
 async fn one(d: &Arc<Daemon>, record: Record, ask: &Ask) -> Value {
     if record.is_live() {
         if let Some(to) = d.members.address(record.host) {
-            if let Ok(Response::Status(text)) = mesh::ask(d, to, ask, ASK_TIME).await {
+            if let Ok(Response::Status(text)) = peers::ask(d, to, ask, ASK_TIME).await {
                 return answered(serde_json::from_str(&text).unwrap_or_default());
             }
         }
