Read an upstream's slots where its load names four figures

What callers saw: after a start of a daemon, until the upstream's next report, calls beyond its slots were sent to it and waited or were turned away there.

Cause: the question after a start took the last figure of the load for the slots. Some upstreams name a fourth, how long work takes on their host now in hundredths of the usual: a daemon took 140 calls at once for an upstream of nine slots. Found by listing what answers say in band and who reads it. The test failed before (140 for 9).

--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -264,7 +264,7 @@
     }
 
     /// Returns what a daemon says of itself; nothing where it does not answer.
-    async fn own_status(&self, i: usize) -> Value {
+    pub async fn own_status(&self, i: usize) -> Value {
         let req = Request::get("/v1/status/self").header("host", "daemon").body(body::empty());
         let Ok(req) = req else { return Value::Null };
         let answer = self.pool.exchange(self.nodes[i].control, req, MOST, ASK_TIME).await;
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -457,7 +457,9 @@
         *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     set(&mut res, "x-instance-id", own);
-    set(&mut res, "x-server-load", "0,0,9");
+    // The last figure is how long work takes there now, in hundredths of the usual time.
+    let slots = *lock(&shared.slots);
+    set(&mut res, "x-server-load", &format!("0,0,{slots},140"));
     res
 }
 
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -73,7 +73,7 @@
         // Only its own reports tell.
         version: String::new(),
         address,
-        slots: load.rsplit(',').next()?.trim().parse().ok().filter(|slots| *slots > 0)?,
+        slots: slots(load)?,
         readiness: Readiness::Ready,
         // Every report of the instance itself is newer.
         sequence: 0,
@@ -81,3 +81,9 @@
     };
     Some((announced, words))
 }
+
+/// Returns the slots that a load names: running, waiting, slots, and for some upstreams
+/// how long work takes now.
+fn slots(load: &str) -> Option<u16> {
+    load.split(',').nth(2)?.trim().parse().ok().filter(|slots| *slots > 0)
+}
--- a/tests/named_limits.rs
+++ b/tests/named_limits.rs
@@ -212,3 +212,20 @@
         assert!(served.await, "{}", fleet.log(0));
     });
 }
+
+#[test]
+fn an_upstream_found_by_asking_has_the_slots_that_it_names() {
+    // Guards against reading how slow an upstream is as its slots, and sending it that many
+    // calls at once until its next report.
+    run(async {
+        let mut fleet = serving(1).await;
+        fleet.nodes[0].instance.set_beats(false);
+        fleet.kill(0);
+        fleet.restart(0);
+        let found = fleet.wait(async |fleet| fleet.log(0).contains("was found by asking it"));
+        assert!(found.await, "{}", fleet.log(0));
+        let known = fleet.wait(async |fleet| fleet.knows(0, 1).await).await;
+        assert!(known, "{}", fleet.log(0));
+        assert_eq!(fleet.own_status(0).await["upstreams"][0]["slots"], 9);
+    });
+}
