--- a/crates/measure/src/load/deployment.rs
+++ b/crates/measure/src/load/deployment.rs
@@ -22,6 +22,10 @@
     pub retry_ratio: f64,
     /// The same beyond the ratio.
     pub retry_slack: f64,
+    /// Processor time that a daemon takes for one message on a processor of its own, in
+    /// microseconds; a call is four messages, two at each end.
+    #[serde(default)]
+    pub message_us: f64,
     /// Services by name.
     pub service: BTreeMap<String, Service>,
     /// Kinds of calls by name.
@@ -55,6 +59,9 @@
     pub slots: u16,
     /// Times of a call in means of its kind; the upstreams take them in turn.
     pub speeds: Vec<f64>,
+    /// Shares of a processor that the daemons beside them have; they take them in turn.
+    #[serde(default = "whole")]
+    pub shares: Vec<f64>,
     /// How long an upstream is cold after its start, in seconds.
     #[serde(default)]
     pub cold_s: f64,
@@ -236,6 +243,10 @@
     }
 }
 
+fn whole() -> Vec<f64> {
+    vec![1.0]
+}
+
 fn one() -> f64 {
     1.0
 }
--- a/crates/measure/src/load/mod.rs
+++ b/crates/measure/src/load/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! # Limits
 //!
-//! The daemons' own time is a constant part of the ways, and bytes cost nothing. All
+//! Where a deployment names no processor time for a message, the daemons' own time is a
+//! constant part of the ways. Bytes cost nothing. All
 //! daemons hear of a change in membership at the same moment. Failure domains are never
 //! cut. Hosts that fall silent are not modelled: an upstream that is down refuses
 //! connections. `docs/MEASUREMENTS.md` says how far the model ranks policies as played
@@ -154,6 +155,7 @@
             "back_off" => &mut self.choice.back_off,
             "subset" => &mut self.choice.subset,
             "refusals" => &mut self.choice.refusals,
+            "questions" => &mut self.choice.questions,
             "ask_free" => &mut self.ask_free,
             "second" => &mut self.second,
             "returning" => &mut self.returning,
--- a/crates/measure/src/load/world.rs
+++ b/crates/measure/src/load/world.rs
@@ -77,6 +77,8 @@
     at: Duration,
     number: u64,
     event: Event,
+    /// Whether a daemon's processor time for it has passed.
+    is_paid: bool,
 }
 
 impl PartialEq for Due {
@@ -115,6 +117,9 @@
     pub cold_until: Duration,
     /// Raised with each start, so that a new start is another upstream.
     pub life: u32,
+    /// Share of a processor that the daemon has, and until when that is taken.
+    pub processor_share: f64,
+    pub processor_free: Duration,
     pub gate: Gate,
     pub tickets: HashMap<Ticket, TryId>,
     pub refuses: f64,
@@ -186,7 +191,10 @@
                 break;
             }
             self.now = due.at;
-            self.step(due.event);
+            match self.processor_time(&due) {
+                Some(wait) => self.push(wait, due.event, true),
+                None => self.step(due.event),
+            }
         }
         self.tally
     }
@@ -203,11 +211,35 @@
 
     /// Lets something happen after a time.
     pub fn after(&mut self, wait: Duration, event: Event) {
+        self.push(wait, event, false);
+    }
+
+    fn push(&mut self, wait: Duration, event: Event, is_paid: bool) {
         self.numbers += 1;
-        let due = Due { at: self.now + wait, number: self.numbers, event };
+        let due = Due { at: self.now + wait, number: self.numbers, event, is_paid };
         self.queue.push(Reverse(due));
     }
 
+    /// Returns after what time a daemon has dealt with a message, in the order of their
+    /// arrival; `None` where that takes no time.
+    fn processor_time(&mut self, due: &Due) -> Option<Duration> {
+        let message = Duration::from_secs_f64(self.deployment.message_us / 1e6);
+        if due.is_paid || message.is_zero() {
+            return None;
+        }
+        let daemon = match due.event {
+            Event::AtEntry(caller) => self.callers[caller.0].entry,
+            Event::AtExit(attempt) | Event::Worked(attempt) => self.tries[attempt.0].host,
+            Event::Back(attempt, _) => self.requests[self.tries[attempt.0].request.0].entry,
+            _ => return None,
+        };
+        let now = self.now;
+        let host = &mut self.hosts[daemon.0];
+        let done = host.processor_free.max(now) + message.div_f64(host.processor_share);
+        host.processor_free = done;
+        Some(done - now)
+    }
+
     /// Returns a time for one way between two hosts.
     pub fn way(&mut self, from: HostId, to: HostId) -> Duration {
         if from == to {
@@ -251,6 +283,8 @@
                     announced: true,
                     cold_until: Duration::ZERO,
                     life: 0,
+                    processor_share: service.shares[number % service.shares.len()],
+                    processor_free: Duration::ZERO,
                     gate: Gate::new(u32::from(service.slots)),
                     tickets: HashMap::new(),
                     refuses: 0.0,
