--- a/crates/core/src/request/choose/cost.rs
+++ b/crates/core/src/request/choose/cost.rs
@@ -14,7 +14,7 @@
 const CANDIDATES: usize = 4;
 /// The way to another host of the own failure domain and back, with the work of two
 /// more daemons on it, in milliseconds.
-pub(super) const HOP_MS: f64 = 5.0;
+const HOP_MS: f64 = 5.0;
 /// Share of the near side's cost at which the far side is taken although the
 /// near side has room.
 const MUCH_CHEAPER: f64 = 0.5;
--- a/crates/core/src/request/choose/mod.rs
+++ b/crates/core/src/request/choose/mod.rs
@@ -25,7 +25,6 @@
 mod observe;
 mod picker;
 mod policy;
-mod questions;
 mod upstream;
 
 pub use picker::Picker;
@@ -118,9 +117,8 @@
     Erred,
     /// Refused as not run.
     Refused { retry_after: Duration, told: Told },
-    /// Not taken since it would have had to wait; there may be room elsewhere. `took` is the
-    /// time from the question to this answer.
-    Full { took: Duration, told: Told },
+    /// Not taken since it would have had to wait; there may be room elsewhere.
+    Full { told: Told },
     /// Refused as not run, since its large answer could not leave the host in
     /// time; the upstream itself may have room.
     LinkBusy,
--- a/crates/core/src/request/choose/observe.rs
+++ b/crates/core/src/request/choose/observe.rs
@@ -77,9 +77,6 @@
         };
         self.observe_error(outcome);
         self.observe_shortage(outcome);
-        if let Outcome::Full { took, .. } = outcome {
-            self.questions.observe(took, now);
-        }
         let upstream = self.at_mut(key);
         upstream.outstanding = upstream.outstanding.saturating_sub(1);
         match outcome {
@@ -87,7 +84,7 @@
                 upstream.answered(relative.unwrap_or(1.0), told.load, now);
                 upstream.told(told, now);
             }
-            Outcome::Full { told, .. } => {
+            Outcome::Full { told } => {
                 upstream.failures = 0;
                 upstream.told(told, now);
             }
--- a/crates/core/src/request/choose/picker.rs
+++ b/crates/core/src/request/choose/picker.rs
@@ -2,7 +2,6 @@
 
 use super::kinds::Spread;
 use super::policy::Policy;
-use super::questions::Questions;
 use super::upstream::Upstream;
 use super::{Choice, Demand, Known, Reason, UpstreamKey};
 use crate::delivery::tree;
@@ -13,8 +12,6 @@
 
 /// Share of attempts that find no free slot above which the service is short of them.
 const SHORT_SHARE: f64 = 0.3;
-/// Share of attempts that find no free slot above which most questions for one are in vain.
-const MOSTLY_FULL_SHARE: f64 = 0.5;
 /// Deviations above the mean before which no call is late for its kind; one in a
 /// hundred takes longer.
 const EARLY_DEVIATIONS: f64 = 3.0;
@@ -36,8 +33,6 @@
     pub(super) errors: f64,
     /// Share of attempts at the service that found no free slot, lately.
     pub(super) shortage: f64,
-    /// How long questions for a free slot in vain take, lately.
-    pub(super) questions: Questions,
     pub(super) arena: Vec<Upstream>,
     index: HashMap<(HostKey, String), UpstreamKey>,
 }
@@ -51,7 +46,6 @@
             kinds: HashMap::new(),
             errors: 0.0,
             shortage: 0.0,
-            questions: Questions::default(),
             arena: Vec::new(),
             index: HashMap::new(),
         }
@@ -174,17 +168,6 @@
         upstream.load(now, self.policy) + 1.0 <= upstream.slots(now, self.policy)
     }
 
-    /// Returns whether a host may be asked for a free slot before a call waits at one.
-    ///
-    /// Failure: all slots of a service are full for seconds, each call asks two hosts for a
-    /// free one before it waits, and daemons have little processor time. Symptom: they spend
-    /// it on questions, and calls are late before they reach an upstream. How long a question
-    /// in vain takes tells whether they do.
-    pub fn may_ask_free(&self, key: UpstreamKey, now: Instant) -> bool {
-        let is_in_vain = self.shortage >= MOSTLY_FULL_SHARE && self.questions.are_slow(now);
-        self.has_room(key, now) && !(self.policy.questions && is_in_vain)
-    }
-
     /// Returns whether another attempt beside a late one may be sent to an upstream.
     ///
     /// Failure: all slots of a service are full for seconds, and what is known of them is
--- a/crates/core/src/request/choose/policy.rs
+++ b/crates/core/src/request/choose/policy.rs
@@ -26,8 +26,6 @@
     pub subset: bool,
     /// Count the share of calls that an upstream refuses, as its host tells.
     pub refusals: bool,
-    /// Ask for no free slot where questions are in vain and slow.
-    pub questions: bool,
 }
 
 impl Policy {
@@ -42,7 +40,6 @@
         back_off: true,
         subset: true,
         refusals: true,
-        questions: true,
     };
 }
 
--- a/src/daemon/request/attempts/so_far.rs
+++ b/src/daemon/request/attempts/so_far.rs
@@ -56,7 +56,7 @@
 
     /// Returns how long the call may wait at the next host.
     pub fn patience(&self, target: &Target) -> Patience {
-        let asks_free = target.may_ask_free && self.asked_free < ASKED_FREE;
+        let asks_free = target.has_room && self.asked_free < ASKED_FREE;
         Patience {
             link: if self.links_busy < LINKS_ASKED { LINK_BUSY_MOST } else { Duration::MAX },
             slot: if asks_free { Duration::ZERO } else { Duration::MAX },
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -152,10 +152,7 @@
             Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
             Attempt::NotRun { .. } if reason == "link-busy" => Outcome::LinkBusy,
             Attempt::NotRun { .. } if reason == "held-back" => Outcome::HeldBack,
-            Attempt::NotRun { .. } if reason == "full" => {
-                let took = d.clock.now().saturating_duration_since(started);
-                Outcome::Full { took, told }
-            }
+            Attempt::NotRun { .. } if reason == "full" => Outcome::Full { told },
             Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after, told },
             Attempt::Unknown | Attempt::Answered => Outcome::Failed,
         });
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -35,11 +35,11 @@
 
 impl Service {
     fn start(&mut self, choice: Choice, now: Instant) -> Target {
-        let may_ask_free = self.picker.may_ask_free(choice.key, now);
+        let has_room = self.picker.has_room(choice.key, now);
         self.picker.started(choice.key);
         let known = self.picker.known(choice.key);
         let (host, place, instance) = (known.host, known.place, known.instance.clone());
-        Target { choice, host, place, instance, may_ask_free, known: self.picker.len() }
+        Target { choice, host, place, instance, has_room, known: self.picker.len() }
     }
 }
 
@@ -71,8 +71,8 @@
     pub place: Place,
     /// The instance's name.
     pub instance: String,
-    /// Whether it may be asked for a free slot before the call waits.
-    pub may_ask_free: bool,
+    /// Whether it has a free slot, as far as is known.
+    pub has_room: bool,
     /// Upstreams of the service that take work.
     pub known: usize,
 }
