--- a/crates/measure/src/load/entry.rs
+++ b/crates/measure/src/load/entry.rs
@@ -1,4 +1,4 @@
-//! The entry daemon: as `src/daemon/request/attempts.rs`, without sockets.
+//! The entry daemon: as `src/daemon/request/attempts`, without sockets.
 
 use super::caller::End;
 use super::exit::{Stage, Try};
