Name what paces an upstream by the field's terms

Tokens, retry times and in-band signals in place of places, invitations and words; the header and the reason in logs follow (next-token).

--- a/crates/core/src/request/choose/cost.rs
+++ b/crates/core/src/request/choose/cost.rs
@@ -133,7 +133,7 @@
     }
 
     /// Returns the upstream whose limit lets a call through first, if that is in time.
-    pub(super) fn next_place(
+    pub(super) fn next_token(
         &self,
         untried: &[UpstreamKey],
         demand: Demand,
@@ -145,7 +145,7 @@
         });
         let in_time = waits.filter_map(|key| {
             let upstream = self.at(*key);
-            let wait = upstream.wait_for_place(now)?;
+            let wait = upstream.wait_for_token(now)?;
             let time = self.mean_ms(demand.kind) * upstream.speed(now) / 1e3;
             let needed = wait + Duration::from_secs_f64(time);
             (needed <= demand.objective).then_some((wait, *key))
@@ -171,7 +171,7 @@
             }
             let is_refused = upstream.is_backing_off(demand.priority, now);
             let refused = upstream.back_off.filter(|_| is_refused).map(|said| said.retry_after);
-            refused.max(upstream.wait_for_place(now))
+            refused.max(upstream.wait_for_token(now))
         });
         if let Some(retry_after) = waits.min() {
             // It is alive and said when to come back: that is the answer, and no
--- a/crates/core/src/request/choose/mod.rs
+++ b/crates/core/src/request/choose/mod.rs
@@ -83,8 +83,8 @@
     NoneNear,
     /// All are set aside, so the one whose time ends first is tried.
     LastResort,
-    /// All that are not set aside named limits; this one has a place in time.
-    NextPlace,
+    /// All that are not set aside named limits; this one has a token in time.
+    NextToken,
 }
 
 /// A chosen upstream.
@@ -104,7 +104,7 @@
     /// Share of the calls sent to it that it takes.
     pub accepts: Option<f64>,
     /// After what time to ask it again, where it names a limit.
-    pub next_place: Option<Duration>,
+    pub next_token: Option<Duration>,
 }
 
 /// How an attempt at an upstream ended.
--- a/crates/core/src/request/choose/picker.rs
+++ b/crates/core/src/request/choose/picker.rs
@@ -123,8 +123,8 @@
             self.keys().filter(|key| self.at(*key).takes_work() && !tried.contains(key)).collect();
         let is_open = |key: &UpstreamKey| {
             let upstream = self.at(*key);
-            let has_place = upstream.wait_for_place(now).is_none();
-            has_place && !upstream.is_aside(now) && !upstream.is_backing_off(demand.priority, now)
+            let has_token = upstream.wait_for_token(now).is_none();
+            has_token && !upstream.is_aside(now) && !upstream.is_backing_off(demand.priority, now)
         };
         let open: Vec<UpstreamKey> = untried.iter().copied().filter(is_open).collect();
         let (near, far): (Vec<_>, Vec<_>) =
@@ -139,8 +139,8 @@
             }
             (Some(key), _) => Ok(Choice { key, reason: Reason::Near }),
             (None, Some(key)) => Ok(Choice { key, reason: Reason::NoneNear }),
-            (None, None) => match self.next_place(&untried, demand, now) {
-                Some(key) => Ok(Choice { key, reason: Reason::NextPlace }),
+            (None, None) => match self.next_token(&untried, demand, now) {
+                Some(key) => Ok(Choice { key, reason: Reason::NextToken }),
                 None => self.last_resort(&untried, demand, now),
             },
         }
@@ -174,8 +174,8 @@
     /// some calls old. Symptom: second attempts go to slots that seem free, and calls that
     /// had none yet wait longer.
     pub fn may_double(&self, key: UpstreamKey, now: Instant) -> bool {
-        let has_place = self.at(key).wait_for_place(now).is_none();
-        has_place && self.has_room(key, now) && self.shortage < SHORT_SHARE
+        let has_token = self.at(key).wait_for_token(now).is_none();
+        has_token && self.has_room(key, now) && self.shortage < SHORT_SHARE
     }
 
     fn keys(&self) -> impl Iterator<Item = UpstreamKey> {
--- a/crates/core/src/request/choose/upstream.rs
+++ b/crates/core/src/request/choose/upstream.rs
@@ -50,7 +50,7 @@
     /// Share of the calls sent to it that it takes, as its host tells, and when.
     pub accepts: Option<(f64, Instant)>,
     /// When to ask it again, where it names a limit.
-    pub next_place: Option<Instant>,
+    pub next_token: Option<Instant>,
     /// Its place among those that this daemon prefers.
     pub rank: u64,
 }
@@ -84,7 +84,7 @@
             aside_until: None,
             back_off: None,
             accepts: None,
-            next_place: None,
+            next_token: None,
             rank,
         }
     }
@@ -102,9 +102,9 @@
     }
 
     /// Returns after what time it may take a call, where it named a limit and has no
-    /// place now.
-    pub fn wait_for_place(&self, now: Instant) -> Option<Duration> {
-        self.next_place.filter(|at| *at > now).map(|at| at - now)
+    /// token now.
+    pub fn wait_for_token(&self, now: Instant) -> Option<Duration> {
+        self.next_token.filter(|at| *at > now).map(|at| at - now)
     }
 
     /// Returns how many calls it may be expected to run at once.
@@ -155,7 +155,7 @@
     pub fn told(&mut self, told: Told, now: Instant) {
         self.hint = told.load.map(|load| (load, now)).or(self.hint);
         self.accepts = told.accepts.map(|share| (share, now)).or(self.accepts);
-        self.next_place = told.next_place.map(|wait| now + wait);
+        self.next_token = told.next_token.map(|wait| now + wait);
     }
 
     /// Returns the share of the calls sent to it that it takes.
--- a/crates/core/src/request/gate/admit.rs
+++ b/crates/core/src/request/gate/admit.rs
@@ -148,16 +148,16 @@
         }
         let ticket = Ticket(self.next);
         self.next += 1;
-        if self.has_place(now) && self.queue.is_empty() {
+        if self.can_start(now) && self.queue.is_empty() {
             self.begin(ticket, &arrival, now);
             return Admission::Run(ticket);
         }
-        let (for_slot, for_place) = (self.wait_of(&arrival), self.wait_for_place(&arrival, now));
-        let wait = for_slot.max(for_place);
+        let (for_slot, for_token) = (self.wait_of(&arrival), self.wait_for_token(&arrival, now));
+        let wait = for_slot.max(for_token);
         let needed = wait + self.times.of(arrival.kind).mul_f64(ROOM);
         if now + needed > arrival.objective {
-            if for_place > for_slot {
-                return self.refuse_over_limit(for_place, now);
+            if for_token > for_slot {
+                return self.refuse_over_limit(for_token, now);
             }
             return Admission::Refuse(Refusal::Busy { retry_after: spread(wait, random) });
         }
@@ -172,23 +172,23 @@
     }
 
     fn refuse_over_limit(&mut self, wait: Duration, now: Instant) -> Admission {
-        let retry_after = self.invite(now).map_or(wait, |place| place.max(wait));
+        let retry_after = self.schedule_retry(now).map_or(wait, |token| token.max(wait));
         Admission::Refuse(Refusal::OverLimit { retry_after })
     }
 
     /// Takes in what an answer says of the upstream's limit; `sent` is when its call was.
-    pub fn hear_limit(
+    pub fn observe_limit(
         &mut self,
         limit: Option<NamedLimit>,
         sent: Instant,
         now: Instant,
     ) -> Option<LimitChange> {
-        self.pace.hear(limit, sent, now)
+        self.pace.observe_limit(limit, sent, now)
     }
 
-    /// Takes in a limit that another daemon heard of; returns whether it was news.
-    pub fn learn_limit(&mut self, limit: NamedLimit, now: Instant) -> bool {
-        self.pace.learn(limit, now)
+    /// Takes over a limit that another daemon observed; returns whether it was news.
+    pub fn adopt_limit(&mut self, limit: NamedLimit, now: Instant) -> bool {
+        self.pace.adopt_limit(limit, now)
     }
 
     /// Returns the limit that the upstream names.
@@ -198,18 +198,18 @@
 
     /// Returns after what time the daemon that asked is to ask again; `None` where it
     /// may ask at any time.
-    pub fn invite(&mut self, now: Instant) -> Option<Duration> {
-        self.pace.invite(self.queue.len(), now)
+    pub fn schedule_retry(&mut self, now: Instant) -> Option<Duration> {
+        self.pace.schedule_retry(self.queue.len(), now)
     }
 
     /// Returns after what time waiting calls must be looked at, where a slot alone does
     /// not let them in.
-    pub fn next_place(&self, now: Instant) -> Option<Duration> {
+    pub fn next_token(&self, now: Instant) -> Option<Duration> {
         self.pace.limit().map(|_| self.pace.wait(0, now))
     }
 
     /// Returns whether the upstream has a free slot and takes a call now.
-    pub(super) fn has_place(&self, now: Instant) -> bool {
+    pub(super) fn can_start(&self, now: Instant) -> bool {
         self.running.len() < self.limit() && self.pace.is_open(now)
     }
 
--- a/crates/core/src/request/gate/mod.rs
+++ b/crates/core/src/request/gate/mod.rs
@@ -32,7 +32,7 @@
 //! # An upstream that names a limit
 //!
 //! It is sent calls at that rate, whatever slots it has free; see [`pace`]. Calls wait for
-//! a place as they wait for a slot, in the same order.
+//! a token as they wait for a slot, in the same order.
 //!
 //! # Limits
 //!
--- a/crates/core/src/request/gate/pace.rs
+++ b/crates/core/src/request/gate/pace.rs
@@ -7,33 +7,33 @@
 //! heard of or lowered.
 //!
 //! A daemon that has just started knows of no limit. Until the upstream has answered it,
-//! it takes the word of the daemons that send calls there.
+//! it adopts the one that comes with calls of other daemons.
 //!
-//! # Invitations
+//! # Retry times
 //!
-//! A call that finds no place is sent elsewhere, and its entry daemon is told when to ask
-//! again. If all were told when the next place is free, all would ask at once and all but
-//! one for nothing, so each place is named to [`INVITED_PER_PLACE`] daemons. That bounds
-//! the questions by the limit, not by the number of daemons.
+//! A call that finds no token is sent elsewhere, and its entry daemon is told when to ask
+//! again. If all were told when the next token is due, all would ask at once and all but
+//! one in vain, so each token is announced to [`RETRIES_PER_TOKEN`] daemons. That bounds
+//! the retries by the limit, not by the number of daemons.
 //!
 //! # Limits
 //!
-//! Invitations reach no further than [`INVITED_WITHIN`]; beyond that, daemons that ask are
-//! all told this time.
+//! Retries are scheduled within [`RETRY_WITHIN`]; beyond that, daemons that ask are all told
+//! this time. A limit that is lowered does not count what was sent under the higher one.
 
 use std::time::{Duration, Instant};
 
-/// Time for which unused places are kept beyond the first one, so that a late timer
+/// Time for which unused tokens are kept beyond the first one, so that a late timer
 /// costs nothing.
 const SAVED_FOR: Duration = Duration::from_millis(50);
 /// Least calls a second that are sent whatever the upstream names: only the answer to a
 /// call can take a limit back.
 const LEAST_PER_S: f64 = 0.25;
-/// Daemons that are told of the same place. More than one, since not each has a call to
-/// send when it is free.
-const INVITED_PER_PLACE: u32 = 2;
-/// Furthest that an invitation reaches.
-const INVITED_WITHIN: Duration = Duration::from_secs(2);
+/// Daemons that a token is announced to. More than one, since not each has a call to send
+/// when it is due.
+const RETRIES_PER_TOKEN: u32 = 2;
+/// Longest time until a scheduled retry.
+const RETRY_WITHIN: Duration = Duration::from_secs(2);
 /// Steps of a limit between daemons, in calls a second.
 const STEP_PER_S: f64 = 0.001;
 
@@ -87,12 +87,12 @@
     /// When the upstream itself last named it.
     named: Option<Instant>,
     /// Whether the upstream has answered since this daemon started.
-    is_heard: bool,
+    is_observed: bool,
     /// Calls that may be sent, and when that was so.
     level: f64,
     at: Option<Instant>,
-    /// The place that daemons are invited to, and how many were.
-    invited: Option<(Instant, u32)>,
+    /// The token that was announced last, and to how many daemons.
+    retries: Option<(Instant, u32)>,
 }
 
 impl Pace {
@@ -100,13 +100,13 @@
     ///
     /// Answers overtake each other: one without a limit takes a limit back only if its
     /// call was sent after the limit was last named.
-    pub fn hear(
+    pub fn observe_limit(
         &mut self,
         limit: Option<NamedLimit>,
         sent: Instant,
         now: Instant,
     ) -> Option<LimitChange> {
-        self.is_heard = true;
+        self.is_observed = true;
         match limit {
             Some(limit) => {
                 self.named = Some(now);
@@ -114,16 +114,16 @@
             }
             None if self.named.is_some_and(|named| sent < named) => None,
             None => {
-                self.invited = None;
+                self.retries = None;
                 self.limit.take().map(|_| LimitChange::Lifted)
             }
         }
     }
 
-    /// Takes in what another daemon last heard; counts only until the upstream has
+    /// Takes over the limit that another daemon last observed, until the upstream has
     /// answered here.
-    pub fn learn(&mut self, limit: NamedLimit, now: Instant) -> bool {
-        let is_news = !self.is_heard && self.limit.is_none_or(|known| limit < known);
+    pub fn adopt_limit(&mut self, limit: NamedLimit, now: Instant) -> bool {
+        let is_news = !self.is_observed && self.limit.is_none_or(|known| limit < known);
         is_news && self.set(limit, now)
     }
 
@@ -154,18 +154,18 @@
 
     /// Returns when a daemon is to ask again, after `queued` calls that wait here;
     /// `None` without a limit.
-    pub fn invite(&mut self, queued: usize, now: Instant) -> Option<Duration> {
+    pub fn schedule_retry(&mut self, queued: usize, now: Instant) -> Option<Duration> {
         let limit = self.limit?;
-        let next = now + self.wait(queued, now).min(INVITED_WITHIN);
-        let (mut place, mut count) =
-            self.invited.filter(|(place, _)| *place >= next).unwrap_or((next, 0));
-        if count >= INVITED_PER_PLACE {
-            place += Duration::from_secs_f64(1.0 / limit.kept_per_s());
+        let next = now + self.wait(queued, now).min(RETRY_WITHIN);
+        let (mut token, mut count) =
+            self.retries.filter(|(token, _)| *token >= next).unwrap_or((next, 0));
+        if count >= RETRIES_PER_TOKEN {
+            token += Duration::from_secs_f64(1.0 / limit.kept_per_s());
             count = 0;
         }
-        place = place.min(now + INVITED_WITHIN);
-        self.invited = Some((place, count + 1));
-        Some(place.saturating_duration_since(now))
+        token = token.min(now + RETRY_WITHIN);
+        self.retries = Some((token, count + 1));
+        Some(token.saturating_duration_since(now))
     }
 
     fn set(&mut self, limit: NamedLimit, now: Instant) -> bool {
--- a/crates/core/src/request/gate/queue.rs
+++ b/crates/core/src/request/gate/queue.rs
@@ -33,7 +33,7 @@
 
     /// Returns how long a call that arrives now is expected to wait until the upstream's
     /// limit lets it through.
-    pub(super) fn wait_for_place(&self, arrival: &Arrival, now: Instant) -> Duration {
+    pub(super) fn wait_for_token(&self, arrival: &Arrival, now: Instant) -> Duration {
         let wait = self.pace.wait(self.before(arrival).count(), now);
         wait.div_f64(1.0 - self.urgent_share(arrival.priority))
     }
@@ -80,7 +80,7 @@
 
     pub(super) fn wake(&mut self, now: Instant) -> Vec<Wake> {
         let mut wakes = self.expire(now);
-        while self.has_place(now) {
+        while self.can_start(now) {
             let Some((place, arrival)) = self.take_next() else { break };
             let ticket = place.2;
             // Work that will most likely miss its deadline would take a slot from
@@ -136,9 +136,9 @@
         }
         let needed = self.times.of(arrival.kind).mul_f64(LEAST_ROOM);
         // A limit that is first named or lowered also binds what was queued before.
-        let place = self.pace.wait(before, now);
-        if now + place + needed > arrival.objective && !place.is_zero() {
-            return Some(Refusal::OverLimit { retry_after: place });
+        let for_token = self.pace.wait(before, now);
+        if now + for_token + needed > arrival.objective && !for_token.is_zero() {
+            return Some(Refusal::OverLimit { retry_after: for_token });
         }
         let late = now + needed > arrival.objective;
         late.then_some(Refusal::Busy { retry_after: self.times.mean.max(MIN_RETRY_AFTER) })
--- a/crates/core/tests/held_back.rs
+++ b/crates/core/tests/held_back.rs
@@ -32,7 +32,7 @@
         priority: Priority::NORMAL,
         objective: Duration::from_millis(400),
     };
-    let told = Told { load: None, accepts: None, next_place: None };
+    let told = Told { load: None, accepts: None, next_token: None };
     let refused = Outcome::Refused { retry_after: MIN_RETRY_AFTER, told };
     for (outcome, is_left) in [(Outcome::HeldBack, true), (refused, false)] {
         let mut picker = two_upstreams(now);
--- a/crates/core/tests/named_limits.rs
+++ b/crates/core/tests/named_limits.rs
@@ -209,13 +209,13 @@
         Told {
             load: Some((gate.running() + gate.queued()) as u16),
             accepts: Some(gate.accepts(self.now)),
-            next_place: gate.invite(self.now),
+            next_token: gate.schedule_retry(self.now),
         }
     }
 
     fn look_later(&mut self, upstream: usize) {
         let gate = &self.upstreams[upstream].gate;
-        if let Some(wait) = gate.next_place(self.now).filter(|wait| !wait.is_zero()) {
+        if let Some(wait) = gate.next_token(self.now).filter(|wait| !wait.is_zero()) {
             self.at(self.now + wait + Duration::from_micros(200), Event::Look(upstream));
         }
     }
@@ -247,7 +247,7 @@
         let attempt = self.upstreams[upstream].running.remove(&ticket).expect("it runs");
         let (now, named) = (self.now, self.upstreams[upstream].limit);
         let gate = &mut self.upstreams[upstream].gate;
-        let _change = gate.hear_limit(named, now - WORK, now);
+        let _change = gate.observe_limit(named, now - WORK, now);
         let wakes = gate.ended(ticket, End::Answered(WORK), now);
         self.wake(upstream, wakes);
         let told = self.told(upstream);
@@ -323,16 +323,16 @@
 }
 
 #[test]
-fn words_that_cross_or_cannot_be_read_change_nothing() {
+fn signals_that_cross_or_cannot_be_read_change_nothing() {
     // Guards against a limit that an older answer takes back, and numbers that are none.
     let now = Instant::now();
     let later = now + Duration::from_millis(100);
     let mut pace = Pace::default();
     let four = limit(4.0);
-    assert_eq!(pace.hear(Some(four), now, now), Some(LimitChange::Named(four)));
-    assert_eq!(pace.hear(None, now - WORK, later), None);
+    assert_eq!(pace.observe_limit(Some(four), now, now), Some(LimitChange::Named(four)));
+    assert_eq!(pace.observe_limit(None, now - WORK, later), None);
     assert_eq!(pace.limit(), Some(four));
-    assert_eq!(pace.hear(None, later, later), Some(LimitChange::Lifted));
+    assert_eq!(pace.observe_limit(None, later, later), Some(LimitChange::Lifted));
     for text in ["", "-1", "NaN", "inf", "4,2", "four", "1 2"] {
         assert_eq!(NamedLimit::parse(text), None, "{text}");
     }
@@ -342,27 +342,27 @@
 }
 
 #[test]
-fn a_daemon_that_starts_again_takes_the_word_of_others_until_it_hears() {
-    // Guards against a limit that others told of and that outlasts the upstream's own word.
+fn a_daemon_that_starts_again_adopts_the_limit_of_others_until_it_is_answered() {
+    // Guards against a limit that others told of and that outlasts the upstream's own signal.
     let now = Instant::now();
     let mut pace = Pace::default();
-    assert!(pace.learn(limit(1.0), now));
+    assert!(pace.adopt_limit(limit(1.0), now));
     assert!(!pace.is_open(now));
     assert!(pace.is_open(now + Duration::from_secs(1)));
-    assert_eq!(pace.hear(None, now, now), Some(LimitChange::Lifted));
-    assert!(!pace.learn(limit(1.0), now));
+    assert_eq!(pace.observe_limit(None, now, now), Some(LimitChange::Lifted));
+    assert!(!pace.adopt_limit(limit(1.0), now));
     assert!(pace.is_open(now));
 }
 
 #[test]
 fn a_lowered_limit_takes_nothing_along() {
-    // Guards against places saved up under the higher limit.
+    // Guards against tokens saved up under the higher limit.
     let now = Instant::now();
     let mut pace = Pace::default();
-    pace.hear(Some(limit(200.0)), now, now);
+    pace.observe_limit(Some(limit(200.0)), now, now);
     let later = now + Duration::from_secs(10);
     assert!(pace.is_open(later));
-    pace.hear(Some(limit(1.0)), later, later);
+    pace.observe_limit(Some(limit(1.0)), later, later);
     assert!(!pace.is_open(later));
     assert_eq!(pace.wait(0, later), Duration::from_secs(1));
 }
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -324,7 +324,7 @@
         let told = Told {
             load: case.args.get("load").map(|_| number(case, "load", 0) as u16),
             accepts: case.args.get("accepts").map(|_| number(case, "accepts", 100) as f64 / 100.0),
-            next_place: case
+            next_token: case
                 .args
                 .get("next")
                 .map(|_| Duration::from_millis(number(case, "next", 0))),
--- a/crates/measure/src/load/exit.rs
+++ b/crates/measure/src/load/exit.rs
@@ -89,7 +89,7 @@
         Told {
             load: Some((gate.running() + gate.queued()) as u16),
             accepts: Some(gate.accepts(self.instant(self.now()))),
-            next_place: None,
+            next_token: None,
         }
     }
 
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -55,7 +55,7 @@
 pub const LIMIT_THOUSANDTHS: &str = "cicadashift-limit-thousandths";
 /// On answers between daemons: milliseconds after which to ask the upstream again, where
 /// it names a limit.
-pub const NEXT_PLACE_MS: &str = "cicadashift-next-place-ms";
+pub const NEXT_TOKEN_MS: &str = "cicadashift-next-token-ms";
 /// On answers between daemons: microseconds from sending to the upstream to the
 /// head of its answer.
 pub const SERVICE_US: &str = "cicadashift-service-us";
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -56,7 +56,7 @@
     /// Whether it said that it leaves, or was replaced.
     leaves: bool,
     /// Whether its answers say that it leaves.
-    said_leaving: bool,
+    signalled_leaving: bool,
     /// What is at the upstream now.
     at_work: HashMap<Ticket, CallDigest>,
     /// What was sent and given up lately, and may be at the upstream still.
@@ -93,7 +93,7 @@
         let state = LocalState {
             gate,
             leaves: announced.readiness == Readiness::Draining,
-            said_leaving: false,
+            signalled_leaving: false,
             announced,
             reported: now,
             unreached: 0,
@@ -155,22 +155,22 @@
     }
 
     /// Takes in what an answer says of the upstream's limit; `sent` is when its call was.
-    pub fn hear_limit(
+    pub fn observe_limit(
         &self,
         limit: Option<NamedLimit>,
         sent: Instant,
         now: Instant,
     ) -> Option<LimitChange> {
         let mut state = lock(&self.state);
-        let change = state.gate.hear_limit(limit, sent, now)?;
+        let change = state.gate.observe_limit(limit, sent, now)?;
         let wakes = state.gate.tick(now);
         state.tell(wakes);
         Some(change)
     }
 
-    /// Takes in a limit that another daemon heard of.
-    pub fn learn_limit(&self, limit: NamedLimit, now: Instant) {
-        if lock(&self.state).gate.learn_limit(limit, now) {
+    /// Takes over a limit that another daemon observed.
+    pub fn adopt_limit(&self, limit: NamedLimit, now: Instant) {
+        if lock(&self.state).gate.adopt_limit(limit, now) {
             let per_s = limit.per_s();
             log::info!("upstream {} named a limit of {per_s} calls/s elsewhere", self.instance);
         }
@@ -178,19 +178,19 @@
 
     /// Returns the limit that the upstream names, and after what time a daemon that asked
     /// is to ask again.
-    pub fn invite(&self, now: Instant) -> Option<(NamedLimit, Duration)> {
+    pub fn schedule_retry(&self, now: Instant) -> Option<(NamedLimit, Duration)> {
         let mut state = lock(&self.state);
         let limit = state.gate.named_limit()?;
-        Some((limit, state.gate.invite(now)?))
+        Some((limit, state.gate.schedule_retry(now)?))
     }
 
     /// Lets in what may run now; returns how long the upstream's limit holds the next
     /// call back. Where a slot holds it back, the end of a call lets it in.
-    fn wait_for_place(&self, now: Instant) -> Option<Duration> {
+    fn wait_for_token(&self, now: Instant) -> Option<Duration> {
         let mut state = lock(&self.state);
         let wakes = state.gate.tick(now);
         state.tell(wakes);
-        state.gate.next_place(now).filter(|wait| !wait.is_zero())
+        state.gate.next_token(now).filter(|wait| !wait.is_zero())
     }
 
     /// Notes that the upstream could not be connected to.
@@ -287,13 +287,13 @@
     /// of it.
     pub(super) fn leave(&self) -> bool {
         let mut state = lock(&self.state);
-        state.said_leaving = true;
+        state.signalled_leaving = true;
         state.take_readiness(Readiness::Draining)
     }
 
     /// Returns whether its answers say that it leaves.
-    pub fn said_leaving(&self) -> bool {
-        lock(&self.state).said_leaving
+    pub fn signalled_leaving(&self) -> bool {
+        lock(&self.state).signalled_leaving
     }
 
     pub(super) fn drain(&self) {
@@ -377,7 +377,7 @@
 impl Waiter {
     async fn wait(mut self) -> Result<Pass, Refusal> {
         let news = loop {
-            if let Some(news) = self.news_or_next_place().await {
+            if let Some(news) = self.news_or_next_token().await {
                 break news;
             }
         };
@@ -388,14 +388,14 @@
 
 impl Waiter {
     /// Returns what was decided, or `None` when the upstream's limit may let a call through.
-    async fn news_or_next_place(&self) -> Option<Result<(), Refusal>> {
+    async fn news_or_next_token(&self) -> Option<Result<(), Refusal>> {
         let news = async { Some(self.rx.recv().await.unwrap_or(Err(Refusal::Gone))) };
-        let Some(wait) = self.local.wait_for_place(self.clock.now()) else { return news.await };
-        let place = async {
+        let Some(wait) = self.local.wait_for_token(self.clock.now()) else { return news.await };
+        let token = async {
             smol::Timer::after(wait).await;
             None
         };
-        smol::future::or(news, place).await
+        smol::future::or(news, token).await
     }
 }
 
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -6,7 +6,7 @@
 //! for it. Reports remain what is believed from then on.
 
 use super::Daemon;
-use super::in_band::{self, Words};
+use super::in_band::{self, Signals};
 use super::request::headers;
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_edge::interface::Announcement;
@@ -39,14 +39,14 @@
             return;
         }
         let asked = d.clock.now();
-        if let Some((announced, words)) = ask(&d, address).await
+        if let Some((announced, signals)) = ask(&d, address).await
             && d.gates.all().is_empty()
         {
             log::info!("upstream {} was found by asking it", announced.instance);
             let name = announced.instance.clone();
             d.gates.announce(&d, announced);
             if let Some(local) = d.gates.get(&name) {
-                in_band::hear(&d, &local, words, asked);
+                in_band::apply(&d, &local, signals, asked);
             }
             return;
         }
@@ -54,7 +54,7 @@
     }
 }
 
-async fn ask(d: &Daemon, address: SocketAddr) -> Option<(Announcement, Words)> {
+async fn ask(d: &Daemon, address: SocketAddr) -> Option<(Announcement, Signals)> {
     let service = d.settings.services.first()?;
     let path = d.versions.health_path(service)?;
     let req = Request::get(path).header("host", address.to_string()).body(body::empty()).ok()?;
@@ -65,7 +65,7 @@
     }
     let instance = headers::text(res.headers(), d.dialect.instance.as_ref()?.as_str())?;
     let load = headers::text(res.headers(), d.dialect.load.as_ref()?.as_str())?;
-    let words = Words::of(d, res.headers());
+    let signals = Signals::of(d, res.headers());
     let announced = Announcement {
         instance: instance.to_string(),
         start: 0,
@@ -79,7 +79,7 @@
         sequence: 0,
         cold_for: Duration::ZERO,
     };
-    Some((announced, words))
+    Some((announced, signals))
 }
 
 /// Returns the slots that a load names: running, waiting, slots, and for some upstreams
--- a/src/daemon/in_band.rs
+++ b/src/daemon/in_band.rs
@@ -1,9 +1,9 @@
-//! What upstreams say of themselves in their answers, beside what they report.
+//! In-band signals: what upstreams say of themselves in their answers.
 //!
-//! The exit daemon decodes it ([`Words`]) and keeps it ([`hear`]): a limit paces its gate,
-//! and an upstream that leaves is drained as by a report. Entry daemons are told in each
-//! answer and remember it ([`Said`]), since the exit daemon may start again and forget.
-//! docs/DESIGN.md, "What an upstream says in its answers", has the reasons.
+//! The exit daemon decodes them ([`Signals`]) and applies them ([`apply`]): a limit paces its
+//! gate, and an upstream that leaves is drained as by a report. Entry daemons are told in
+//! each answer and remember it ([`Remembered`]), since the exit daemon may start again and
+//! forget. docs/DESIGN.md, "What an upstream says in its answers", has the reasons.
 
 use super::gates::local::Local;
 use super::request::headers;
@@ -22,52 +22,52 @@
 /// Separates an instance's id from its start in its name in the mesh.
 const START_SEPARATOR: char = '@';
 
-/// What one answer of an upstream says of it.
+/// Signals of one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Words {
-    limit: LimitWord,
+pub struct Signals {
+    limit: LimitSignal,
     leaves: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum LimitWord {
+enum LimitSignal {
     None,
     Named(NamedLimit),
     Unreadable,
 }
 
-impl Words {
+impl Signals {
     /// Decodes an upstream's answer.
-    pub fn of(d: &Daemon, head: &HeaderMap) -> Words {
+    pub fn of(d: &Daemon, head: &HeaderMap) -> Signals {
         let named: Vec<_> = head.get_all(&d.dialect.limit).iter().collect();
         let readable = named.iter().filter_map(|value| NamedLimit::parse(value.to_str().ok()?));
         let limit = match readable.min_by(|a, b| a.per_s().total_cmp(&b.per_s())) {
-            Some(lowest) => LimitWord::Named(lowest),
-            None if named.is_empty() => LimitWord::None,
-            None => LimitWord::Unreadable,
+            Some(lowest) => LimitSignal::Named(lowest),
+            None if named.is_empty() => LimitSignal::None,
+            None => LimitSignal::Unreadable,
         };
         let leaves = head.get(&d.dialect.leaving).is_some_and(|value| value == "1");
-        Words { limit, leaves }
+        Signals { limit, leaves }
     }
 }
 
 /// Takes in what an answer of an upstream on this host says; `sent` is when its call was.
-pub fn hear(d: &Daemon, local: &Arc<Local>, words: Words, sent: Instant) {
-    if words.leaves && !local.said_leaving() {
-        d.metrics.incr("upstream.leaving_said");
+pub fn apply(d: &Daemon, local: &Arc<Local>, signals: Signals, sent: Instant) {
+    if signals.leaves && !local.signalled_leaving() {
+        d.metrics.incr("upstream.leaving_signalled");
         log::info!("upstream {} leaves, as its answers say", local.instance);
         d.gates.drain(d, local);
     }
-    let limit = match words.limit {
-        LimitWord::None => None,
-        LimitWord::Named(limit) => Some(limit),
-        LimitWord::Unreadable => {
+    let limit = match signals.limit {
+        LimitSignal::None => None,
+        LimitSignal::Named(limit) => Some(limit),
+        LimitSignal::Unreadable => {
             d.metrics.incr("upstream.limit_unreadable");
             log::debug!("upstream {} names a limit that is no number", local.instance);
             return;
         }
     };
-    match local.hear_limit(limit, sent, d.clock.now()) {
+    match local.observe_limit(limit, sent, d.clock.now()) {
         Some(LimitChange::Named(limit)) => {
             d.metrics.incr("upstream.limit_named");
             log::info!("upstream {} names a limit of {} calls/s", local.instance, limit.per_s());
@@ -81,7 +81,7 @@
 
 /// What upstreams said in answers that passed here, by host and instance.
 #[derive(Default)]
-pub struct Said {
+pub struct Remembered {
     rows: Mutex<HashMap<(HostKey, String), Row>>,
 }
 
@@ -94,7 +94,7 @@
     at: Instant,
 }
 
-impl Said {
+impl Remembered {
     /// Takes in what the exit daemon tells of an upstream beside an answer; returns
     /// whether it is news that the upstream leaves.
     pub fn take(&self, host: HostKey, name: &str, head: &HeaderMap, now: Instant) -> bool {
@@ -123,7 +123,7 @@
     /// Returns whether an upstream said that it leaves.
     ///
     /// Failure: the daemon beside an upstream starts again and the upstream reports itself
-    /// as ready. Symptom: it gets new calls from daemons that have passed on its word.
+    /// as ready. Symptom: it gets new calls from daemons that have passed on its signal.
     pub fn has_left(&self, host: HostKey, name: &str) -> bool {
         self.row(host, name).is_some_and(|row| row.leaves)
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,9 @@
 //! of upstreams (itself sharded by service) and [`gates`] for admission. No lock
 //! is held across an await, and no two at once unless the order here is kept.
 //!
+//! What goes to other daemons is in [`peers`] and [`datagrams`], what comes from them in
+//! [`mesh`] and [`gossip`].
+//!
 //! The request path is in [`request`]. The configuration path is [`source`]
 //! where the configuration lies whole under one key of the store, and
 //! [`reader`], [`rollout`] and [`stage`] where it is made of objects.
@@ -138,7 +141,7 @@
     /// Limits that all daemons keep together.
     pub limits: limits::Limits,
     /// What upstreams said of themselves in answers that passed here.
-    pub said: in_band::Said,
+    pub signals: in_band::Remembered,
     /// Rollouts of new versions.
     pub rollouts: rollouts::Rollouts,
     /// Upstreams as chosen from here.
@@ -360,7 +363,7 @@
             callers: callers::Callers::default(),
             quarantine: quarantine::Quarantine::default(),
             limits: limits::Limits::default(),
-            said: in_band::Said::default(),
+            signals: in_band::Remembered::default(),
             rollouts: rollouts::Rollouts::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(),
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -7,7 +7,7 @@
 use super::tracked::{Counted, Tracked};
 use crate::daemon::gates::ended;
 use crate::daemon::gates::local::{Local, Pass};
-use crate::daemon::in_band::{self, Words};
+use crate::daemon::in_band::{self, Signals};
 use crate::daemon::{Daemon, lock, quarantine};
 use cicadashift_core::request::gate::pace::NamedLimit;
 use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
@@ -61,7 +61,7 @@
         return refuse(&d, &cx, refusal, arrived, Some(&local));
     }
     if let Some(limit) = cx.limit_thousandths {
-        local.learn_limit(NamedLimit::from_thousandths(limit), arrived);
+        local.adopt_limit(NamedLimit::from_thousandths(limit), arrived);
     }
     let kind = KindKey(cx.call_kind);
     let objective = Duration::from_millis(u64::from(cx.objective_ms));
@@ -232,7 +232,7 @@
         return unknown(d, cx, StatusCode::BAD_GATEWAY, "wrong-answer", started, local);
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
-        in_band::hear(d, local, Words::of(d, &head.headers), started);
+        in_band::apply(d, local, Signals::of(d, &head.headers), started);
     }
     if let Some(res) = refusal_of_upstream(d, cx, &head, local) {
         pass.end(End::Shed, d.clock.now());
@@ -297,11 +297,11 @@
     let now = d.clock.now();
     let accepts = local.accepts(now) * 1e3;
     headers::set(head, call::ACCEPTS, &(accepts.round() as u64).to_string());
-    if let Some((limit, next)) = local.invite(now) {
+    if let Some((limit, next)) = local.schedule_retry(now) {
         headers::set(head, call::LIMIT_THOUSANDTHS, &limit.thousandths().to_string());
-        headers::set(head, call::NEXT_PLACE_MS, &next.as_millis().to_string());
+        headers::set(head, call::NEXT_TOKEN_MS, &next.as_millis().to_string());
     }
-    if local.said_leaving() {
+    if local.signalled_leaving() {
         headers::set(head, call::LEAVING_START, &local.start().to_string());
     }
 }
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -134,7 +134,7 @@
     let (head, body) = res.into_parts();
     d.costs.add(Purpose::Answer, target.place == Place::Far, CALL_HEAD + size_of(&body));
     let told = told(&head.headers);
-    if d.said.take(target.host, &target.instance, &head.headers, d.clock.now()) {
+    if d.signals.take(target.host, &target.instance, &head.headers, d.clock.now()) {
         d.services.sync(d);
     }
     let key = target.choice.key;
@@ -194,7 +194,7 @@
     Told {
         load: headers::number(head, call::LOAD).map(|load| load as u16),
         accepts: headers::number(head, call::ACCEPTS).map(|share| share.min(1000) as f64 / 1e3),
-        next_place: headers::number(head, call::NEXT_PLACE_MS).map(Duration::from_millis),
+        next_token: headers::number(head, call::NEXT_TOKEN_MS).map(Duration::from_millis),
     }
 }
 
@@ -206,7 +206,7 @@
     patience: Patience,
     now: Instant,
 ) -> Context {
-    let said = d.said.limit(target.host, &target.instance);
+    let said = d.signals.limit(target.host, &target.instance);
     let ms = |time: Duration| time.as_millis().min(u128::from(u32::MAX)) as u32;
     Context {
         request_id: work.request_id.clone(),
--- a/src/daemon/request/story.rs
+++ b/src/daemon/request/story.rs
@@ -120,7 +120,7 @@
         Reason::Spill => "spill",
         Reason::NoneNear => "none-near",
         Reason::LastResort => "last-resort",
-        Reason::NextPlace => "next-place",
+        Reason::NextToken => "next-token",
     };
     let now = d.clock.now();
     let left = work.deadline.saturating_duration_since(now);
