Log what a daemon tries while it runs an older version than others

A fetch of a version from a member that failed was logged at debug level only, and nothing told for how long a daemon knew that it was behind, so that a fetch that failed, one that waited and one that nobody began looked alike. No logic changes.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -22,7 +22,7 @@
 const DECISION: &str = "decision";
 /// Parts of the messages that record a change in what a daemon knows of its surroundings:
 /// configuration, hosts, upstreams and the store.
-const CONTEXT: [&str; 16] = [
+const CONTEXT: [&str; 17] = [
     "names a limit",
     "names no limit",
     "calls at it",
@@ -30,6 +30,7 @@
     "is cleared",
     "is in force",
     "does not come into force",
+    "cannot fetch version",
     "sign of life",
     "signs of life",
     "is suspected",
--- a/src/daemon/document.rs
+++ b/src/daemon/document.rs
@@ -182,6 +182,13 @@
         Some(now.saturating_duration_since(since))
     }
 
+    /// Returns for how long a newer version than the one in force has been known, zero if
+    /// none is.
+    pub fn behind_for(&self, now: Instant) -> Duration {
+        let since = lock(&self.inner).behind_since;
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Returns whether the store confirmed within `max_age` that no newer version exists,
     /// and no member is known to run one.
     pub fn is_current(&self, now: Instant, max_age: Duration) -> bool {
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -237,8 +237,17 @@
         return;
     }
     if let Some(to) = d.members.address(member) {
-        if let Err(err) = fetch_update(d, to).await {
-            log::debug!("cannot fetch the configuration from {to}: {err}");
+        let began = d.clock.now();
+        let result = fetch_update(d, to).await;
+        let took = d.clock.now().saturating_duration_since(began);
+        d.metrics.time("version.fetch", took);
+        if let Err(err) = result {
+            d.metrics.incr("version.fetch_failed");
+            let (behind, took) = ((behind + took).as_millis(), took.as_millis());
+            log::warn!(
+                "cannot fetch version {version} from {to}: {err}, after {took} ms; behind for \
+                 {behind} ms"
+            );
         }
     }
     d.is_fetching_config.store(false, Ordering::Relaxed);
@@ -441,6 +450,7 @@
     };
     let limits = running.table.limits;
     let routes = running.table.len();
+    let behind = d.versions.document.behind_for(began);
     // Members usually ask followers for updates; other daemons need not keep the previous
     // text.
     let keep_older = d.follows_store.load(Ordering::Relaxed);
@@ -452,8 +462,13 @@
         d.caller_idle.set(allowed.min(MAX_CALLER_IDLE) + IDLE_MARGIN);
     }
     d.metrics.gauge("version.running", version);
-    let took = d.clock.now().saturating_duration_since(began).as_millis();
-    log::info!("version {version} is in force: {routes} routes, from {from}, after {took} ms");
+    let took = d.clock.now().saturating_duration_since(began);
+    d.metrics.time("version.behind", behind + took);
+    let (took, behind) = (took.as_millis(), (behind + took).as_millis());
+    log::info!(
+        "version {version} is in force: {routes} routes, from {from}, after {took} ms; behind \
+         for {behind} ms"
+    );
 }
 
 fn compile(d: &Daemon, document: Document) -> Result<RunningConfig, ConfigError> {
