--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -3,6 +3,7 @@
 use crate::hosted::instance::Instance;
 use crate::hosted::store::{CONFIG_KEY, Store};
 use crate::link::Link;
+use crate::mesh_link::MeshLink;
 use crate::ports;
 use crate::upstream::Ledger;
 use cicadashift_http::body;
@@ -35,6 +36,8 @@
     pub ready: SocketAddr,
     /// The link from the daemon to the store.
     pub store_link: Link,
+    /// The link from the other daemons, where the fleet has such links.
+    pub mesh_link: Option<MeshLink>,
     /// The instance on the same host.
     pub instance: Arc<Instance>,
     settings: PathBuf,
@@ -42,6 +45,13 @@
     child: Option<Child>,
 }
 
+/// How daemons reach each other's mesh ports.
+#[derive(Clone, Copy)]
+enum MeshPath {
+    Direct,
+    Links,
+}
+
 /// The daemons of one mesh. Dropping it kills every process.
 pub struct HostedFleet {
     /// The daemons: the first two are in failure domain `a`, the others in `b`.
@@ -65,15 +75,31 @@
     /// instances in time.
     pub async fn serving(program: &Path, count: usize) -> HostedFleet {
         let fleet = HostedFleet::start(program, count);
-        fleet.put_config(1, &["/notices/"]);
+        fleet.begin_serving().await;
+        fleet
+    }
+
+    /// Starts daemons as [`HostedFleet::serving`] does, which reach each other over links.
+    ///
+    /// # Panics
+    ///
+    /// Panics as [`HostedFleet::serving`] does.
+    pub async fn serving_over_mesh_links(program: &Path, count: usize) -> HostedFleet {
+        let fleet = HostedFleet::start_with(program, count, MeshPath::Links);
+        fleet.begin_serving().await;
+        fleet
+    }
+
+    async fn begin_serving(&self) {
+        let count = self.daemons.len();
+        self.put_config(1, &["/notices/"]);
         for i in 0..count {
-            let ready = fleet.wait(async |fleet: &HostedFleet| fleet.is_ready(i).await).await;
-            assert!(ready, "daemon {i} becomes ready: {}", fleet.log(i));
+            let ready = self.wait(async |fleet: &HostedFleet| fleet.is_ready(i).await).await;
+            assert!(ready, "daemon {i} becomes ready: {}", self.log(i));
             let is_listed =
-                fleet.wait(async |fleet: &HostedFleet| fleet.sees_instances(i, count).await).await;
-            assert!(is_listed, "daemon {i} lists all instances: {}", fleet.log(i));
+                self.wait(async |fleet: &HostedFleet| fleet.sees_instances(i, count).await).await;
+            assert!(is_listed, "daemon {i} lists all instances: {}", self.log(i));
         }
-        fleet
     }
 
     /// Starts daemons without a configuration.
@@ -82,13 +108,18 @@
     ///
     /// Panics if a daemon cannot be started.
     pub fn start(program: &Path, count: usize) -> HostedFleet {
+        HostedFleet::start_with(program, count, MeshPath::Direct)
+    }
+
+    fn start_with(program: &Path, count: usize, mesh_path: MeshPath) -> HostedFleet {
         let dir_name =
             format!("cicadashift-hosted-{}-{:08x}", std::process::id(), fastrand::u32(..));
         let dir = std::env::temp_dir().join(dir_name);
         std::fs::create_dir_all(&dir).expect("the temporary directory can be created");
         let store = Store::start();
         let ledger = Ledger::default();
-        let daemons = (0..count).map(|i| Daemon::prepare(i, &dir, &store, &ledger)).collect();
+        let daemons =
+            (0..count).map(|i| Daemon::prepare(i, &dir, &store, &ledger, mesh_path)).collect();
         let mut fleet = HostedFleet {
             daemons,
             store,
@@ -335,11 +366,22 @@
 }
 
 impl Daemon {
-    fn prepare(i: usize, dir: &Path, store: &Store, ledger: &Ledger) -> Daemon {
+    fn prepare(
+        i: usize,
+        dir: &Path,
+        store: &Store,
+        ledger: &Ledger,
+        mesh_path: MeshPath,
+    ) -> Daemon {
         let ip = ports::unique_ip();
         let [callers, control, ready, mesh] = ports::free_addrs(ip);
         let store_link = Link::start(store.addr, Duration::ZERO);
         let instance = Instance::start(&format!("i-{i}"), "notice", control, ledger.clone());
+        let mesh_link = match mesh_path {
+            MeshPath::Direct => None,
+            MeshPath::Links => Some(MeshLink::start(mesh)),
+        };
+        let reached_at = mesh_link.as_ref().map_or(mesh, |link| link.tcp.addr);
         let settings = json!({
             "interface": "platform",
             "host": format!("host-{i}"),
@@ -350,6 +392,8 @@
             "upstream": instance.addr,
             "ready": ready,
             "mesh": mesh,
+            "near_address": reached_at,
+            "far_address": reached_at,
             "platform": [store_link.addr],
             "mesh_key": crate::fleet::MESH_KEY,
             "threads": 1,
@@ -362,6 +406,7 @@
             control,
             ready,
             store_link,
+            mesh_link,
             instance,
             settings: file,
             log: dir.join(format!("host-{i}.log")),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hosted;
 pub mod link;
 pub mod mesh;
+pub mod mesh_link;
 pub mod platform;
 pub mod ports;
 pub mod upstream;
--- a/crates/testkit/src/link.rs
+++ b/crates/testkit/src/link.rs
@@ -1,4 +1,5 @@
-//! A link between failure domains: a TCP relay that adds a delay and can be cut.
+//! A link between failure domains: a TCP relay that adds a delay, and that can be cut or
+//! made narrow.
 
 use cicadashift_http::exec;
 use smol::Async;
@@ -9,13 +10,22 @@
 use std::time::{Duration, Instant};
 
 const CHUNK_BYTES: usize = 64 << 10;
+/// Bytes relayed at a time while the link has a limited rate.
+const NARROW_CHUNK_BYTES: usize = 4 << 10;
 
 /// A TCP relay to one address.
 pub struct Link {
     /// The listen address of the relay.
     pub addr: SocketAddr,
-    cut: Arc<AtomicBool>,
-    bytes: Arc<AtomicU64>,
+    state: Arc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    cut: AtomicBool,
+    bytes: AtomicU64,
+    /// Rate of each connection and direction in bytes per second; zero is unlimited.
+    bytes_per_s: AtomicU64,
 }
 
 impl Link {
@@ -25,46 +35,52 @@
     ///
     /// Panics if the system refuses a port.
     pub fn start(to: SocketAddr, delay: Duration) -> Link {
-        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
+        Link::start_at(([127, 0, 0, 1], 0).into(), to, delay)
+    }
+
+    /// Starts a relay as [`Link::start`] does, with a given listen address.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address is in use.
+    pub fn start_at(addr: SocketAddr, to: SocketAddr, delay: Duration) -> Link {
+        let listener = Async::<TcpListener>::bind(addr).expect("a free port");
         let addr = listener.get_ref().local_addr().expect("a bound socket has an address");
-        let cut = Arc::new(AtomicBool::new(false));
-        let bytes = Arc::new(AtomicU64::new(0));
-        exec::spawn(accept(listener, to, delay, cut.clone(), bytes.clone())).detach();
-        Link { addr, cut, bytes }
+        let state = Arc::new(State::default());
+        exec::spawn(accept(listener, to, delay, state.clone())).detach();
+        Link { addr, state }
     }
 
     /// Cuts the link or restores it. Cutting loses the bytes in transit and closes all
     /// connections.
     pub fn cut(&self, cut: bool) {
-        self.cut.store(cut, Ordering::SeqCst);
+        self.state.cut.store(cut, Ordering::SeqCst);
+    }
+
+    /// Limits the rate of each connection, in bytes per second and direction.
+    pub fn limit_rate(&self, bytes_per_s: u64) {
+        self.state.bytes_per_s.store(bytes_per_s, Ordering::Relaxed);
     }
 
     /// Returns the number of bytes relayed in both directions.
     pub fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
+        self.state.bytes.load(Ordering::Relaxed)
     }
 }
 
-async fn accept(
-    listener: Async<TcpListener>,
-    to: SocketAddr,
-    delay: Duration,
-    cut: Arc<AtomicBool>,
-    bytes: Arc<AtomicU64>,
-) {
+async fn accept(listener: Async<TcpListener>, to: SocketAddr, delay: Duration, state: Arc<State>) {
     while let Ok((inbound, _)) = listener.accept().await {
-        if cut.load(Ordering::SeqCst) {
+        if state.cut.load(Ordering::SeqCst) {
             continue;
         }
-        let (cut, bytes) = (cut.clone(), bytes.clone());
+        let state = state.clone();
         exec::spawn(async move {
             let Ok(outbound) = Async::<TcpStream>::connect(to).await else { return };
             let _best_effort =
                 (inbound.get_ref().set_nodelay(true), outbound.get_ref().set_nodelay(true));
             let (inbound, outbound) = (Arc::new(inbound), Arc::new(outbound));
-            let forward =
-                relay(inbound.clone(), outbound.clone(), delay, cut.clone(), bytes.clone());
-            let backward = relay(outbound, inbound, delay, cut, bytes);
+            let forward = relay(inbound.clone(), outbound.clone(), delay, state.clone());
+            let backward = relay(outbound, inbound, delay, state);
             smol::future::zip(forward, backward).await;
         })
         .detach();
@@ -75,14 +91,16 @@
     from: Arc<Async<TcpStream>>,
     to: Arc<Async<TcpStream>>,
     delay: Duration,
-    cut: Arc<AtomicBool>,
-    bytes: Arc<AtomicU64>,
+    state: Arc<State>,
 ) {
     let (tx, rx) = smol::channel::bounded::<(Instant, Vec<u8>)>(1024);
     let reader = async {
         let mut from = &*from;
         let mut buf = vec![0; CHUNK_BYTES];
-        while let Ok(len) = from.read(&mut buf).await {
+        loop {
+            let is_narrow = state.bytes_per_s.load(Ordering::Relaxed) > 0;
+            let max_len = if is_narrow { NARROW_CHUNK_BYTES } else { CHUNK_BYTES };
+            let Ok(len) = from.read(&mut buf[..max_len]).await else { break };
             if len == 0 || tx.send((Instant::now() + delay, buf[..len].to_vec())).await.is_err() {
                 break;
             }
@@ -93,15 +111,20 @@
         let mut to = &*to;
         while let Ok((due, chunk)) = rx.recv().await {
             smol::Timer::at(due).await;
-            if cut.load(Ordering::SeqCst) || to.write_all(&chunk).await.is_err() {
+            let bytes_per_s = state.bytes_per_s.load(Ordering::Relaxed);
+            if bytes_per_s > 0 {
+                let time = Duration::from_secs_f64(chunk.len() as f64 / bytes_per_s as f64);
+                smol::Timer::after(time).await;
+            }
+            if state.cut.load(Ordering::SeqCst) || to.write_all(&chunk).await.is_err() {
                 break;
             }
-            bytes.fetch_add(chunk.len() as u64, Ordering::Relaxed);
+            state.bytes.fetch_add(chunk.len() as u64, Ordering::Relaxed);
         }
         let _closed = to.get_ref().shutdown(std::net::Shutdown::Both);
     };
     let cut_watcher = async {
-        while !cut.load(Ordering::SeqCst) {
+        while !state.cut.load(Ordering::SeqCst) {
             smol::Timer::after(Duration::from_millis(10)).await;
         }
         let _closed = from.get_ref().shutdown(std::net::Shutdown::Both);
