Limit the silence of a transfer, not its length

Cause: a read of the configuration had a time limit on the whole of it: 0.8 s from a member, 1 s from the store. 200 KB (270 KB from the store) over a link of 5 Mbit/s take 0.4 s while it is idle, and more than the limit while requests fill it. A transfer that arrives steadily was given up and begun anew, and the attempts filled the link further. Class: a limit on the length of an exchange whose size grows with the data, retried from its start.

Ruled out: that nobody told (heartbeats name the newer version each half second), versions going down, rejected versions.

Change: the limit holds until the head of the answer and from one piece of the body to the next; ten seconds bound the whole. In the one function that all control exchanges use, so that comparisons of tables, objects of the product's own interface and reads of etcd have it too: the same cause stood there, with 0.5, 0.8 and 1.5 s.

Why it works: silence is what shows a dead peer, and a transfer that makes progress ends in the time that the link needs.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,10 +5,11 @@
 //! the connection is closed, so that bytes of one answer are never taken for the answer
 //! to the next request.
 
-use crate::body::{self, Body, BodyError};
+use crate::body::{Body, BodyError};
 use crate::{exec, socket};
-use bytes::Bytes;
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use smol::Async;
@@ -30,6 +31,29 @@
 /// readers of large answers take up the largest part of a daemon's memory.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// Longest time of one exchange in which the answer arrives steadily: a megabyte over a link
+/// of which other traffic leaves 1 Mbit/s.
+const MAX_TRANSFER: Duration = Duration::from_secs(10);
+
+/// Time limits of one exchange.
+///
+/// A limit on the whole exchange would give up an answer that arrives steadily over a narrow
+/// or busy link. The next attempt would begin anew and fail in the same way, and the
+/// attempts themselves would fill the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Longest time until the head of the answer.
+    pub head: Duration,
+    /// Longest time without a further piece of the body.
+    pub stall: Duration,
+}
+
+impl From<Duration> for Timeouts {
+    fn from(time: Duration) -> Timeouts {
+        Timeouts { head: time, stall: time }
+    }
+}
+
 /// Why a request has no complete answer.
 #[derive(Debug)]
 pub enum SendError {
@@ -143,27 +167,27 @@
         }
     }
 
-    /// Sends a request and reads its complete answer within `timeout`.
+    /// Sends a request and reads its complete answer.
     ///
     /// # Errors
     ///
-    /// Returns [`SendError`] as [`Pool::send`] does, and also if the timeout passes or
-    /// the body is incomplete or longer than `max_bytes`.
+    /// Returns [`SendError`] as [`Pool::send`] does, and also if one of the timeouts passes,
+    /// the answer takes ten seconds, or the body is incomplete or longer than `max_bytes`.
     pub async fn exchange(
         &self,
         to: SocketAddr,
         req: Request<Body>,
         max_bytes: usize,
-        timeout: Duration,
+        timeouts: impl Into<Timeouts>,
     ) -> Result<Response<Bytes>, SendError> {
-        let round_trip = async {
-            let (answer, connection) = self.send(to, req).await?;
-            let (head, incoming) = answer.into_parts();
-            let buf = body::read(incoming, max_bytes).await.map_err(SendError::Body)?;
-            connection.return_to(self, IDLE_TIMEOUT);
-            Ok(Response::from_parts(head, buf))
-        };
-        exec::timeout(timeout, round_trip).await.unwrap_or(Err(SendError::TimedOut))
+        let Timeouts { head, stall } = timeouts.into();
+        let sent = exec::timeout(head, self.send(to, req)).await;
+        let (answer, connection) = sent.unwrap_or(Err(SendError::TimedOut))?;
+        let (head, incoming) = answer.into_parts();
+        let body = exec::timeout(MAX_TRANSFER, read_steadily(incoming, max_bytes, stall)).await;
+        let buf = body.unwrap_or(Err(SendError::TimedOut))?;
+        connection.return_to(self, IDLE_TIMEOUT);
+        Ok(Response::from_parts(head, buf))
     }
 
     /// Closes the idle connections to an address.
@@ -197,6 +221,34 @@
     }
 }
 
+/// Reads a complete body of at most `max_bytes` whose pieces follow each other within
+/// `stall`.
+async fn read_steadily(
+    mut incoming: Incoming,
+    max_bytes: usize,
+    stall: Duration,
+) -> Result<Bytes, SendError> {
+    if incoming.size_hint().lower() > max_bytes as u64 {
+        return Err(SendError::Body(BodyError::TooLong));
+    }
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = match exec::timeout(stall, incoming.frame()).await {
+            None => return Err(SendError::TimedOut),
+            Some(None) => return Ok(buf.freeze()),
+            Some(Some(Err(err))) => {
+                return Err(SendError::Body(BodyError::Broken(err.to_string())));
+            }
+            Some(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if buf.len() + data.len() > max_bytes {
+            return Err(SendError::Body(BodyError::TooLong));
+        }
+        buf.extend_from_slice(&data);
+    }
+}
+
 async fn connect(to: SocketAddr) -> Result<SendRequest<Body>, SendError> {
     let stream = exec::timeout(CONNECT_TIMEOUT, Async::<TcpStream>::connect(to))
         .await
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -47,12 +47,13 @@
 ///
 /// # Errors
 ///
-/// Returns [`MeshError`] if no valid response arrives within `time`.
+/// Returns [`MeshError`] if no valid response begins within `timeout`, or if it stalls for as
+/// long.
 pub async fn ask(
     d: &Daemon,
     to: SocketAddr,
     ask: &Ask,
-    time: Duration,
+    timeout: Duration,
 ) -> Result<Response, MeshError> {
     let buf = rpc::encode(ask);
     let (purpose, far) = (
@@ -68,7 +69,7 @@
         .body(body::full(buf))
         .map_err(|err| MeshError::Send(SendError::Unreached(err.to_string())))?;
     let res =
-        d.mesh_pool.exchange(to, req, rpc::MAX_MESSAGE, time).await.map_err(MeshError::Send)?;
+        d.mesh_pool.exchange(to, req, rpc::MAX_MESSAGE, timeout).await.map_err(MeshError::Send)?;
     if res.status() != StatusCode::OK {
         return Err(MeshError::Status(res.status()));
     }
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -66,7 +66,7 @@
 /// Time between two heartbeats of a follower. One may be lost before the members that
 /// rely on it follow the store themselves.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Time limit of one request to a member.
+/// Longest time until a member answers a request, and between two pieces of its answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest time for which a caller's idle connection is kept, whatever the configuration
 /// allows; answers announce it. An idle connection holds two buffers of 8 KB, and callers
