Encode changes of the configuration against the text that the receiver holds

Cause: a delta could be made only by a daemon that kept the very version that the other one held. Followers kept three older texts, all others none. Who missed four versions, or asked a daemon that follows no store, got 200 KB in place of some hundred bytes, over a link of 5 Mbit/s that requests fill. Class: a cheap path that hangs on a history which few keep; when followers are lost, cut off, or read other versions of a burst, all take the dear path at once.

Change: the receiver sends the fingerprints of its text's chunks (1.6 KB for 205 KB), and the sender what differs from them: no history is kept, and memory for older texts is gone. Chunks end by content, so that an added route moves no others. Where a delta does not apply, or the other daemon is of a build without, the whole text is asked for.

--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -1,7 +1,7 @@
 //! Property tests: invariants that hold for every sequence of events.
 
 use cicadashift_core::config::compile::RoutingTable;
-use cicadashift_core::config::delta::Delta;
+use cicadashift_core::config::delta::{Delta, Signature};
 use cicadashift_core::config::{Config, Priority, Selector};
 use cicadashift_core::delivery::tree;
 use cicadashift_core::ids::HostKey;
@@ -305,7 +305,7 @@
         other in "[ab}]{0,30}",
     ) {
         let (old, new) = (old.concat(), new.concat());
-        let delta = Delta::between(old.as_bytes(), new.as_bytes());
+        let delta = Delta::against(&Signature::of(old.as_bytes()), new.as_bytes());
         prop_assert_eq!(delta.apply(old.as_bytes()), Some(new.clone().into_bytes()));
         if let Some(result) = delta.apply(other.as_bytes()) {
             prop_assert_eq!(result, new.into_bytes());
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -1,7 +1,7 @@
 //! Requests between daemons, and their responses.
 
 use crate::WireError;
-use cicadashift_core::config::delta::Delta;
+use cicadashift_core::config::delta::{Delta, Signature};
 use cicadashift_core::delivery::witness::Testimony;
 use cicadashift_core::ids::{HostKey, Incarnation, ObjectHash, Revision, Version};
 use cicadashift_core::membership::record::Record;
@@ -89,7 +89,7 @@
     Head,
     /// Return the active version.
     Current,
-    /// Send an update from the version `held` to the configuration in force.
+    /// Send the complete text of the configuration in force, if it is newer than `held`.
     Document { held: Version },
     /// Return the daemon's own status, for the command `status`.
     Status,
@@ -102,6 +102,9 @@
     Suspicions(Vec<Suspicion>),
     /// Report on the answers of a service's upstreams during a rollout.
     Rollout(Report),
+    /// Send an update from the version `held`, whose text has this signature, to the
+    /// configuration in force.
+    DocumentDelta { held: Version, signature: Signature },
 }
 
 /// The result of an offer or activation at one host.
@@ -139,7 +142,7 @@
     },
     /// To `Head` and `Current`: the version, `None` where it is not known.
     Version(Option<VersionRef>),
-    /// To `Document`: the update, `None` where no newer version is in force.
+    /// To `Document` and `DocumentDelta`: the update, `None` where no newer version is in force.
     Document(Option<Update>),
     /// To `Status` and `Quotas`: JSON, since operators read it.
     Status(String),
@@ -171,7 +174,7 @@
     /// The complete text.
     #[serde(rename = "Whole")]
     Complete(ByteBuf),
-    /// The delta from the version that the member holds.
+    /// The delta from the text that the member holds.
     Changed(Delta),
 }
 
--- a/src/daemon/document.rs
+++ b/src/daemon/document.rs
@@ -3,25 +3,22 @@
 
 use super::lock;
 use bytes::Bytes;
-use cicadashift_core::config::delta::Delta;
+use cicadashift_core::config::delta::{Delta, Signature};
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_edge::store::Revision;
 use cicadashift_wire::rpc::{Update, UpdateBody};
 use serde_bytes::ByteBuf;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-/// Older texts kept so that members can be sent a delta. A member is rarely more than two
-/// versions behind; at 150 KB a text, these take less than half a megabyte.
-const KEPT_OLDER_TEXTS: usize = 3;
 /// Time after a follower's heartbeat in which this daemon leaves the store to the
 /// followers. Heartbeats come twice a second, so that one may be lost. A change must be
 /// in force within two seconds; this timeout leaves a narrow link time to carry the
 /// change.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// The document in force, the texts before it, and how current it is known to be.
+/// The document in force, and how current it is known to be.
 ///
 /// A follower is a member that watches the key in the store.
 #[derive(Default)]
@@ -35,8 +32,6 @@
     /// Revision at which the store last changed the text.
     revision: Revision,
     text: Bytes,
-    /// Texts of earlier versions, newest last.
-    older: VecDeque<(Version, Bytes)>,
     /// When the store last confirmed, to this daemon or to a follower, that no newer
     /// version exists.
     confirmed: Option<Instant>,
@@ -50,14 +45,12 @@
 
 impl DocumentState {
     /// Installs a newer text and calls `activate` before its version can be seen here;
-    /// returns whether the text was newer. The text before it is kept for members if
-    /// `keep_older`.
+    /// returns whether the text was newer.
     pub fn install(
         &self,
         version: Version,
         revision: Revision,
         text: Bytes,
-        keep_older: bool,
         activate: impl FnOnce(),
     ) -> bool {
         let mut inner = lock(&self.inner);
@@ -65,13 +58,7 @@
             return false;
         }
         activate();
-        let old = (inner.version, std::mem::replace(&mut inner.text, text));
-        if old.0 > 0 && keep_older {
-            inner.older.push_back(old);
-        }
-        while inner.older.len() > KEPT_OLDER_TEXTS {
-            inner.older.pop_front();
-        }
+        inner.text = text;
         inner.version = version;
         inner.revision = revision;
         inner.behind_since = None;
@@ -100,23 +87,24 @@
         confirmed.is_some_and(|at| now.saturating_duration_since(at) <= max_age)
     }
 
-    /// Returns the update for a member that holds version `held`: a delta, or the
-    /// complete text if that version is not kept here; `None` if there is no newer
-    /// version.
-    pub fn update_for(&self, held: Version) -> Option<Update> {
-        let (version, revision, text, old) = {
+    /// Returns the complete text for a member that holds version `held`; `None` if there is
+    /// no newer version.
+    pub fn complete_update(&self, held: Version) -> Option<Update> {
+        self.update(held, |text| UpdateBody::Complete(ByteBuf::from(text.to_vec())))
+    }
+
+    /// Returns the delta for a member that holds version `held` with a text of this
+    /// signature; `None` if there is no newer version.
+    pub fn delta_update(&self, held: Version, signature: &Signature) -> Option<Update> {
+        self.update(held, |text| UpdateBody::Changed(Delta::against(signature, text)))
+    }
+
+    fn update(&self, held: Version, encode: impl FnOnce(&[u8]) -> UpdateBody) -> Option<Update> {
+        let (version, revision, text) = {
             let inner = lock(&self.inner);
-            let old = inner.older.iter().find(|(version, _)| *version == held);
-            (inner.version, inner.revision, inner.text.clone(), old.map(|(_, text)| text.clone()))
-        };
-        if version <= held {
-            return None;
-        }
-        let body = match old {
-            Some(old) => UpdateBody::Changed(Delta::between(&old, &text)),
-            None => UpdateBody::Complete(ByteBuf::from(text.to_vec())),
+            (inner.version, inner.revision, inner.text.clone())
         };
-        Some(Update { version, revision, body })
+        (version > held).then(|| Update { version, revision, body: encode(&text) })
     }
 
     /// Records that this daemon has read the key for the first time, which also confirms
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -71,7 +71,10 @@
         }
         Ask::Head => Response::Version(reader::fresh_head(d).await),
         Ask::Current => Response::Version(d.versions.active()),
-        Ask::Document { held } => Response::Document(d.versions.document.update_for(held)),
+        Ask::Document { held } => Response::Document(d.versions.document.complete_update(held)),
+        Ask::DocumentDelta { held, signature } => {
+            Response::Document(d.versions.document.delta_update(held, &signature))
+        }
         Ask::Status => Response::Status(status::own(d).to_string()),
         Ask::Quotas => Response::Status(quotas::own(d).to_string()),
         Ask::Suspicions(suspicions) => {
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -16,8 +16,10 @@
 use bytes::Bytes;
 use cicadashift_core::config::Invalid;
 use cicadashift_core::config::compile::RoutingTable;
+use cicadashift_core::config::delta::Signature;
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_edge::interface::{Document, Interface, Malformed};
+use cicadashift_http::hyper::StatusCode;
 use cicadashift_wire::rpc::{Request, Response, Update, UpdateBody};
 use std::fmt;
 use std::net::SocketAddr;
@@ -287,35 +289,57 @@
 /// Fetches from a member what this daemon lacks, and puts it in force.
 async fn fetch_update(d: &Daemon, to: SocketAddr) -> Result<(), MeshError> {
     let (held, text) = d.versions.document.version_and_text();
-    let update = match request_update(d, to, held).await? {
-        None => return Ok(()),
-        Some(update) => update,
-    };
-    let (version, revision) = (update.version, update.revision);
-    if version <= held {
+    if held > 0 && fetch_delta(d, to, held, &text).await? == DeltaOutcome::Done {
         return Ok(());
     }
-    match update.body {
-        UpdateBody::Complete(text) => {
-            log::info!("version {version} comes whole from {to}, which lacks {held}");
-            install_text(d, Bytes::from(text.into_vec()), revision, "member");
-        }
-        UpdateBody::Changed(delta) => match delta.apply(&text) {
-            Some(text) => install_text(d, Bytes::from(text), revision, "member"),
-            None => log::warn!(
-                "version {version} from {to}: its delta does not apply to version {held}"
-            ),
-        },
-    }
+    let Some(update) = request_update(d, to, &Request::Document { held }).await? else {
+        return Ok(());
+    };
+    let UpdateBody::Complete(text) = update.body else { return Err(MeshError::Unexpected) };
+    log::info!("version {} comes whole from {to}", update.version);
+    install_text(d, Bytes::from(text.into_vec()), update.revision, "member");
     Ok(())
 }
 
-async fn request_update(
+/// What became of a delta that a member was asked for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum DeltaOutcome {
+    /// It is installed, or the member has no newer version.
+    Done,
+    /// The complete text is needed: the delta does not apply, or the member runs a build
+    /// without deltas.
+    Unusable,
+}
+
+async fn fetch_delta(
     d: &Daemon,
     to: SocketAddr,
     held: Version,
+    text: &[u8],
+) -> Result<DeltaOutcome, MeshError> {
+    let request = Request::DocumentDelta { held, signature: Signature::of(text) };
+    let update = match request_update(d, to, &request).await {
+        Ok(Some(update)) => update,
+        Ok(None) => return Ok(DeltaOutcome::Done),
+        Err(MeshError::Status(StatusCode::BAD_REQUEST)) => return Ok(DeltaOutcome::Unusable),
+        Err(err) => return Err(err),
+    };
+    let version = update.version;
+    let UpdateBody::Changed(delta) = update.body else { return Err(MeshError::Unexpected) };
+    let Some(text) = delta.apply(text) else {
+        log::warn!("version {version} from {to}: its delta does not apply to version {held}");
+        return Ok(DeltaOutcome::Unusable);
+    };
+    install_text(d, Bytes::from(text), update.revision, "member");
+    Ok(DeltaOutcome::Done)
+}
+
+async fn request_update(
+    d: &Daemon,
+    to: SocketAddr,
+    request: &Request,
 ) -> Result<Option<Update>, MeshError> {
-    match peers::ask(d, to, &Request::Document { held }, REQUEST_TIMEOUT).await? {
+    match peers::ask(d, to, request, REQUEST_TIMEOUT).await? {
         Response::Document(update) => Ok(update),
         _ => Err(MeshError::Unexpected),
     }
@@ -451,10 +475,7 @@
     let limits = running.table.limits;
     let routes = running.table.len();
     let behind = d.versions.document.behind_for(began);
-    // Members usually ask followers for updates; other daemons need not keep the previous
-    // text.
-    let keep_older = d.follows_store.load(Ordering::Relaxed);
-    if !d.versions.install(running, revision, text, keep_older) {
+    if !d.versions.install(running, revision, text) {
         return;
     }
     if let Some(limits) = limits {
--- a/src/daemon/versions.rs
+++ b/src/daemon/versions.rs
@@ -108,17 +108,10 @@
 
     /// Puts a complete document in force if it is newer; returns whether it was.
     ///
-    /// `text` is kept for members that do not read it from the store, and the text before
-    /// it if `keep_older`.
-    pub fn install(
-        &self,
-        running: RunningConfig,
-        revision: Revision,
-        text: Bytes,
-        keep_older: bool,
-    ) -> bool {
+    /// `text` is kept for members that do not read it from the store.
+    pub fn install(&self, running: RunningConfig, revision: Revision, text: Bytes) -> bool {
         let version = running.table.version;
-        self.document.install(version, revision, text, keep_older, || {
+        self.document.install(version, revision, text, || {
             let mut slot = self.running.write().unwrap_or_else(std::sync::PoisonError::into_inner);
             *slot = Arc::new(running);
         })
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -14,12 +14,12 @@
     // would refuse requests without a route until the next version.
     let document = DocumentState::default();
     let now = Instant::now();
-    assert!(document.install(1, at(10), Bytes::from_static(b"one"), true, || {}));
+    assert!(document.install(1, at(10), Bytes::from_static(b"one"), || {}));
     document.confirm(now);
     assert!(document.is_current(now, MAX_AGE));
     assert_eq!(document.note_member_version(2, now), Some(Duration::ZERO));
     assert!(!document.is_current(now, MAX_AGE));
-    assert!(document.install(2, at(11), Bytes::from_static(b"two"), true, || {}));
+    assert!(document.install(2, at(11), Bytes::from_static(b"two"), || {}));
     assert_eq!(document.note_member_version(2, now), None);
     assert!(document.is_current(now, MAX_AGE));
 }
