--- a/crates/testkit/src/link.rs
+++ b/crates/testkit/src/link.rs
@@ -1,5 +1,5 @@
-//! A link between failure domains: a TCP relay that adds a delay, and that can be cut or
-//! made narrow.
+//! A link between failure domains: a TCP relay that adds a delay, and that can be cut,
+//! silenced or made narrow.
 
 use cicadashift_http::exec;
 use smol::Async;
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 
 const CHUNK_BYTES: usize = 64 << 10;
+/// Interval at which a silent link checks whether it relays again.
+const SILENCE_POLL: Duration = Duration::from_millis(10);
 /// Bytes relayed at a time while the link has a limited rate.
 const NARROW_CHUNK_BYTES: usize = 4 << 10;
 
@@ -23,6 +25,7 @@
 #[derive(Default)]
 struct State {
     cut: AtomicBool,
+    silent: AtomicBool,
     bytes: AtomicU64,
     /// Rate of each connection and direction in bytes per second; zero is unlimited.
     bytes_per_s: AtomicU64,
@@ -57,6 +60,12 @@
         self.state.cut.store(cut, Ordering::SeqCst);
     }
 
+    /// Silences the link or restores it. A silent link holds all bytes back and closes no
+    /// connection.
+    pub fn silence(&self, silent: bool) {
+        self.state.silent.store(silent, Ordering::SeqCst);
+    }
+
     /// Limits the rate of each connection, in bytes per second and direction.
     pub fn limit_rate(&self, bytes_per_s: u64) {
         self.state.bytes_per_s.store(bytes_per_s, Ordering::Relaxed);
@@ -111,6 +120,9 @@
         let mut to = &*to;
         while let Ok((due, chunk)) = rx.recv().await {
             smol::Timer::at(due).await;
+            while state.silent.load(Ordering::SeqCst) {
+                smol::Timer::after(SILENCE_POLL).await;
+            }
             let bytes_per_s = state.bytes_per_s.load(Ordering::Relaxed);
             if bytes_per_s > 0 {
                 let time = Duration::from_secs_f64(chunk.len() as f64 / bytes_per_s as f64);
--- a/tests/late_configuration.rs
+++ b/tests/late_configuration.rs
@@ -6,12 +6,16 @@
 use cicadashift_testkit::hosted::fleet::HostedFleet;
 use common::run;
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longest time until a change is in force, at a daemon that nothing disturbs.
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// Routes of the large configuration, some 200 KB of text.
 const ROUTES: usize = 1500;
+/// Time between two changes of a burst, and their number.
+const BURST: (Duration, u64) = (Duration::from_millis(250), 10);
+/// Time between two questions for the version that a daemon runs.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Time between two changes of a series.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Time after the end of a disturbance from which its daemons are held to [`IN_FORCE`].
@@ -116,3 +120,71 @@
         assert!(took < STABLE_AFTER, "after {took:?}: {}", fleet.log(0));
     });
 }
+
+#[test]
+fn members_get_changes_in_time_although_their_followers_hear_nothing_of_the_store() {
+    // Guards against followers that vouch for an old version while their connections to the
+    // store are silent, and against waits for them that add up in a burst of changes.
+    run(async {
+        let fleet = HostedFleet::serving(program(), 8).await;
+        let two_per_domain = async |fleet: &HostedFleet| fleet.followers().await.len() == 4;
+        assert!(fleet.wait(two_per_domain).await, "{:?}", fleet.followers().await);
+        let followers = fleet.followers().await;
+        let members: Vec<usize> = (2..8).filter(|i| !followers.contains(i)).collect();
+        for i in followers.iter().filter(|i| **i >= 2) {
+            fleet.daemons[*i].store_link.silence(true);
+        }
+        let accepted = async {
+            let mut accepted = Vec::new();
+            for version in 2..2 + BURST.1 {
+                fleet.put_config(version, &["/notices/"]);
+                accepted.push((version, wall_ms()));
+                smol::Timer::after(BURST.0).await;
+            }
+            accepted
+        };
+        let seen = watch_versions(&fleet, &members, 1 + BURST.1);
+        let (accepted, seen) = smol::future::zip(accepted, seen).await;
+        for (version, accepted_ms) in accepted {
+            for member in &members {
+                let first = seen.iter().find(|s| s.daemon == *member && s.version >= version);
+                let lag_ms =
+                    first.expect("all versions arrive").since_ms.saturating_sub(accepted_ms);
+                let lag = Duration::from_millis(lag_ms);
+                assert!(lag < IN_FORCE, "{version} at {member} {lag:?}: {}", fleet.log(*member));
+            }
+        }
+    });
+}
+
+/// A version that a daemon was seen to run.
+struct Seen {
+    daemon: usize,
+    version: u64,
+    /// When it came into force, in milliseconds since 1970.
+    since_ms: u64,
+}
+
+/// Watches which versions daemons run, until all of them run `last`.
+async fn watch_versions(fleet: &HostedFleet, daemons: &[usize], last: u64) -> Vec<Seen> {
+    let mut seen: Vec<Seen> = Vec::new();
+    let until = Instant::now() + cicadashift_testkit::hosted::fleet::WAIT_TIMEOUT;
+    let mut behind = daemons.to_vec();
+    while !behind.is_empty() {
+        assert!(Instant::now() < until, "{behind:?} are behind: {}", fleet.log(behind[0]));
+        for daemon in behind.clone() {
+            let status = fleet.own_status(daemon).await;
+            let number = |field: &str| status[field].as_u64().unwrap_or(0);
+            let (version, since_ms) = (number("running"), number("running_since_ms"));
+            seen.push(Seen { daemon, version, since_ms });
+            behind.retain(|i| *i != daemon || version < last);
+        }
+        smol::Timer::after(POLL_INTERVAL).await;
+    }
+    seen
+}
+
+fn wall_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
