Let followers of the store tell each other of versions

Callers of hosts that nothing disturbs saw a change 2 to 3 s after it was confirmed, where the daemons that follow the store for them had lost it just before.

Cause: a follower whose connection to the store is silent goes on following until the probes of the connection fail, three seconds. Its heartbeats name the version before, its members wait 1 s for it before they ask another follower and 1.3 s before they ask anybody, and then until the next datagram of that daemon, 0.5 to 1 s; followers in a burst read up to 0.9 s apart. Class: a source that vouches for what it cannot know, and waits that are each in bounds and add up.

Change: a follower announces each version that the store reports to the followers of all failure domains. One that hears of a version waits 0.2 s for its own watch, or for its own read of a burst if that is ahead, then fetches the difference and tells its members. Members wait for their own follower while its heartbeats are on time (0.7 s in place of 1.2), for another one 0.8 s in place of 1.0, and by a timer in place of the next datagram.

Why it works: one follower of any domain that hears the store is enough for all others, within 0.2 s and two ways; nothing of it hangs on finding out that a connection is dead.

--- a/src/daemon/document.rs
+++ b/src/daemon/document.rs
@@ -18,6 +18,10 @@
 /// change.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Time after a follower's heartbeat in which its next one is due. One that is overdue may
+/// be lost; the follower may also have ended, and another one is asked for a newer version.
+const HEARTBEAT_DUE: Duration = Duration::from_millis(700);
+
 /// The document in force, and how current it is known to be.
 ///
 /// A follower is a member that watches the key in the store.
@@ -39,6 +43,8 @@
     first_read: Option<Instant>,
     /// Since when a member is known to run a newer version.
     behind_since: Option<Instant>,
+    /// When this daemon reads the key next, while it reads changes of a burst as one.
+    next_read: Option<Instant>,
     /// When the last heartbeat of each follower arrived.
     heartbeats: HashMap<HostKey, Instant>,
 }
@@ -148,10 +154,21 @@
         lock(&self.inner).heartbeats.values().any(is_recent)
     }
 
-    /// Returns whether this follower sent a heartbeat within the heartbeat timeout.
-    pub fn is_follower_live(&self, member: HostKey, now: Instant) -> bool {
+    /// Returns whether the next heartbeat of this follower is not overdue.
+    pub fn is_follower_on_time(&self, member: HostKey, now: Instant) -> bool {
         let at = lock(&self.inner).heartbeats.get(&member).copied();
-        at.is_some_and(|at| now.saturating_duration_since(at) <= HEARTBEAT_TIMEOUT)
+        at.is_some_and(|at| now.saturating_duration_since(at) <= HEARTBEAT_DUE)
+    }
+
+    /// Records when this daemon reads the key next, `None` where only a watch reports changes.
+    pub fn expect_read(&self, at: Option<Instant>) {
+        lock(&self.inner).next_read = at;
+    }
+
+    /// Returns the time until this daemon reads the key next, `None` if no read is ahead.
+    pub fn time_to_read(&self, now: Instant) -> Option<Duration> {
+        let at = lock(&self.inner).next_read?;
+        at.checked_duration_since(now)
     }
 
     /// Records that a member runs `version`. Returns for how long a version newer than
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -328,10 +328,17 @@
     /// Members whose tables agree return the same list: the members with the widest links,
     /// since a narrow link needs a third of a second to carry a configuration.
     pub fn followers(&self) -> Vec<HostKey> {
-        let mut followers = lock(&self.inner).alive_by_link(&self.domain);
-        if followers.len() > ALL_FOLLOW_MAX {
-            followers.truncate(FOLLOWERS_PER_DOMAIN);
-        }
+        lock(&self.inner).followers_of_domain(&self.domain)
+    }
+
+    /// Returns the members of all failure domains that are to follow the store, without this
+    /// daemon.
+    pub fn other_followers(&self) -> Vec<HostKey> {
+        let inner = lock(&self.inner);
+        let domains = inner.table.domains();
+        let mut followers: Vec<HostKey> =
+            domains.iter().flat_map(|domain| inner.followers_of_domain(domain)).collect();
+        followers.retain(|host| *host != self.me);
         followers
     }
 
@@ -465,6 +472,15 @@
         alive.into_iter().map(|(_, host)| host).collect()
     }
 
+    /// Returns the members of a failure domain that are to follow the store for it.
+    fn followers_of_domain(&self, domain: &str) -> Vec<HostKey> {
+        let mut followers = self.alive_by_link(domain);
+        if followers.len() > ALL_FOLLOW_MAX {
+            followers.truncate(FOLLOWERS_PER_DOMAIN);
+        }
+        followers
+    }
+
     /// Returns the live members of a failure domain, or of the whole mesh, without `me`.
     fn others(&self, me: HostKey, scope: Option<&str>) -> Vec<HostKey> {
         self.table.live(scope).into_iter().filter(|host| *host != me).collect()
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -44,7 +44,11 @@
 const ASK_ANY_MEMBER_AFTER: Duration = Duration::from_millis(1300);
 /// Time for which a daemon leaves a newer version to its own follower, which reads
 /// changes of a burst [`DEBOUNCE`] apart, before it asks another follower.
-const ASK_OTHER_FOLLOWER_AFTER: Duration = Duration::from_millis(1000);
+const ASK_OTHER_FOLLOWER_AFTER: Duration = Duration::from_millis(800);
+/// Time for which a follower leaves a version that another follower runs to its own watch, or
+/// to its own read if it is about to read. The store tells all followers within milliseconds,
+/// so a follower that hears nothing for longer has a slow or silent connection.
+const OWN_READ_TIME: Duration = Duration::from_millis(200);
 /// Time for which a daemon that has just started leaves its first version to its own read
 /// of the store, which is under way, before it asks members.
 const FIRST_READ_WAIT: Duration = Duration::from_millis(600);
@@ -196,6 +200,22 @@
     }
 }
 
+/// Announces a version that the store has just reported: to the members that rely on this
+/// daemon, and to the other followers.
+///
+/// A connection to the store may be silent for seconds before the probes of the connection
+/// fail. Its follower would go on vouching for the version before, and its members would
+/// wait for it.
+async fn announce_version(d: &Daemon) {
+    send_heartbeats(d).await;
+    if !d.follows_store.load(Ordering::Relaxed) || !d.members.followers().contains(&d.me) {
+        return;
+    }
+    for host in d.members.other_followers() {
+        datagrams::send_heartbeat(d, host).await;
+    }
+}
+
 /// Returns whether this daemon should follow the store: it is one of its failure domain's
 /// designated followers, or receives no heartbeat of any.
 ///
@@ -221,68 +241,84 @@
     }
 }
 
-/// Fetches the version that a member runs, if this daemon lacks it and should not wait
-/// for another source.
+/// Fetches the version that a member runs, if this daemon lacks it and no other source
+/// delivers it within the time left to that source.
 pub async fn update_from_member(
     d: &Arc<Daemon>,
     member: HostKey,
     version: Version,
     member_follows: bool,
 ) {
-    let Some(behind) = d.versions.document.note_member_version(version, d.clock.now()) else {
-        return;
-    };
-    if may_wait(d, member, member_follows, behind) {
-        return;
+    let document = &d.versions.document;
+    let Some(behind) = document.note_member_version(version, d.clock.now()) else { return };
+    let wait = time_to_wait(d, member, member_follows, behind);
+    if !wait.is_zero() {
+        // Followers are few. Were each announcement waited for, the datagrams of hundreds of
+        // members would keep as many tasks.
+        if !member_follows {
+            return;
+        }
+        smol::Timer::after(wait).await;
     }
+    let Some(behind) = document.note_member_version(version, d.clock.now()) else { return };
     if d.is_fetching_config.swap(true, Ordering::Relaxed) {
         return;
     }
     if let Some(to) = d.members.address(member) {
-        let began = d.clock.now();
-        let result = fetch_update(d, to).await;
-        let took = d.clock.now().saturating_duration_since(began);
-        d.metrics.time("version.fetch", took);
-        if let Err(err) = result {
-            d.metrics.incr("version.fetch_failed");
-            let (behind, took) = ((behind + took).as_millis(), took.as_millis());
-            log::warn!(
-                "cannot fetch version {version} from {to}: {err}, after {took} ms; behind for \
-                 {behind} ms"
-            );
-        }
+        fetch_and_log(d, to, version, behind).await;
     }
     d.is_fetching_config.store(false, Ordering::Relaxed);
+    if document.version() >= version {
+        send_heartbeats(d).await;
+    }
+}
+
+async fn fetch_and_log(d: &Daemon, to: SocketAddr, version: Version, behind: Duration) {
+    let began = d.clock.now();
+    let result = fetch_update(d, to).await;
+    let took = d.clock.now().saturating_duration_since(began);
+    d.metrics.time("version.fetch", took);
+    if let Err(err) = result {
+        d.metrics.incr("version.fetch_failed");
+        let (behind, took) = ((behind + took).as_millis(), took.as_millis());
+        log::warn!(
+            "cannot fetch version {version} from {to}: {err}, after {took} ms; behind for \
+             {behind} ms"
+        );
+    }
 }
 
-/// Returns whether to wait for the usual source of a newer version rather than ask this
-/// member.
+/// Returns how long to leave a newer version to the usual source before this member is asked.
 ///
-/// If a member asked the first daemon that announces a newer version, that daemon might not
-/// keep the version that the member holds. It would send the complete text instead of a
-/// delta, and over a narrow link that delays the next version. A member therefore asks its
-/// own follower while it receives this follower's heartbeats, then another follower, and any
-/// member only when neither delivers.
-fn may_wait(d: &Daemon, member: HostKey, member_follows: bool, behind: Duration) -> bool {
+/// Followers read changes of a burst at different times. A daemon that took every version of
+/// every follower would decode several times as many, and answers nobody meanwhile. A
+/// follower therefore leaves a version to its own watch or read, a member to its own
+/// follower while this one's heartbeats are on time, and any other member is asked only when
+/// neither delivers.
+fn time_to_wait(d: &Daemon, member: HostKey, member_follows: bool, behind: Duration) -> Duration {
     let now = d.clock.now();
     let document = &d.versions.document;
     if document.version() == 0 {
-        return behind < FIRST_READ_WAIT;
+        return FIRST_READ_WAIT.saturating_sub(behind);
     }
     if d.follows_store.load(Ordering::Relaxed)
         && document.was_confirmed_within(now, FOLLOWING_MAX_AGE)
     {
-        return behind < ASK_ANY_MEMBER_AFTER;
+        return match (member_follows, document.time_to_read(now)) {
+            (true, None) => OWN_READ_TIME.saturating_sub(behind),
+            (true, Some(ahead)) => ahead + OWN_READ_TIME,
+            (false, _) => ASK_ANY_MEMBER_AFTER.saturating_sub(behind),
+        };
     }
     if !document.has_live_follower(now) {
-        return false;
+        return Duration::ZERO;
     }
     let own = followers_of(&d.members.followers(), d.me)[0];
-    let is_own_live = own.is_some_and(|own| document.is_follower_live(own, now));
-    match (own == Some(member) || !is_own_live, member_follows) {
-        (true, true) => false,
-        (false, true) => behind < ASK_OTHER_FOLLOWER_AFTER,
-        (_, false) => behind < ASK_ANY_MEMBER_AFTER,
+    let is_own_on_time = own.is_some_and(|own| document.is_follower_on_time(own, now));
+    match (own == Some(member) || !is_own_on_time, member_follows) {
+        (true, true) => Duration::ZERO,
+        (false, true) => ASK_OTHER_FOLLOWER_AFTER.saturating_sub(behind),
+        (_, false) => ASK_ANY_MEMBER_AFTER.saturating_sub(behind),
     }
 }
 
@@ -372,7 +408,7 @@
         let now = d.clock.now();
         mark_current(d, now);
         let Some(pair) = newest else { continue };
-        send_heartbeats(d).await;
+        announce_version(d).await;
         let is_burst = last_change.is_some_and(|at| now < at + BURST_GAP);
         last_change = Some(now);
         if is_burst {
@@ -432,14 +468,16 @@
 /// of 200 KB they fill a link of 5 Mbit/s, and requests wait.
 async fn debounce(d: &Daemon, key: &str, mut after: Revision) -> Result<Revision, PlatformError> {
     loop {
+        d.versions.document.expect_read(Some(d.clock.now() + DEBOUNCE));
         smol::Timer::after(DEBOUNCE).await;
         let revision = read_key(d, key).await?.unwrap_or(after);
         mark_current(d, d.clock.now());
         if revision == after {
+            d.versions.document.expect_read(None);
             return Ok(after);
         }
         after = revision;
-        send_heartbeats(d).await;
+        announce_version(d).await;
     }
 }
 
