Log who keeps a limit, and what is admitted before its first grant

Now a line for each account that is opened and for each first grant that is throttled; both at most once a limit and daemon in a minute without calls. No logic changes.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -44,6 +44,7 @@
 
 use crate::ids::HostKey;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::time::Duration;
 
 /// Interval between two notices of a keeper while limits stay throttled.
@@ -66,6 +67,12 @@
 )]
 pub struct LimitKey(pub u64);
 
+impl fmt::Display for LimitKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 impl LimitKey {
     /// Returns the key of an organisation's quota.
     pub fn of_organisation(name: &str) -> LimitKey {
--- a/crates/core/src/limit/share.rs
+++ b/crates/core/src/limit/share.rs
@@ -32,8 +32,12 @@
     /// Calls of [`Grant::ALL`] that may be admitted, and when this grant expires.
     granted_share: u16,
     grant_expires: Instant,
-    /// When the last grant arrived.
+    /// When the limiter was created.
+    created: Instant,
+    /// When the last grant arrived; before the first, when the limiter was created.
     last_grant: Instant,
+    /// Calls admitted before the first grant; `None` once it has arrived.
+    ungranted: Option<u32>,
     /// Calls admitted a second, averaged over [`RATE_WINDOW`].
     admitted_per_s: f64,
     /// Calls that may be admitted without a keeper.
@@ -51,7 +55,9 @@
             admitted: 0,
             granted_share: Grant::ALL,
             grant_expires: now + GRANT_TTL,
+            created: now,
             last_grant: now,
+            ungranted: Some(0),
             admitted_per_s: 0.0,
             fallback_tokens: FALLBACK_BURST,
             updated: now,
@@ -75,6 +81,7 @@
         };
         if is_admitted {
             self.admitted = self.admitted.saturating_add(1);
+            self.ungranted = self.ungranted.map(|calls| calls.saturating_add(1));
             self.fallback_tokens = (self.fallback_tokens - 1.0).max(0.0);
             self.admitted_per_s += 1.0 / RATE_WINDOW.as_secs_f64();
         }
@@ -92,11 +99,18 @@
 
     /// Applies a grant of the keeper.
     pub fn apply_grant(&mut self, grant: Grant, now: Instant) {
+        self.ungranted = None;
         self.granted_share = grant.share;
         self.grant_expires = now + GRANT_TTL;
         self.last_grant = now;
     }
 
+    /// Returns the calls admitted so far and the limiter's age, or `None` once a grant arrived.
+    pub fn admitted_before_first_grant(&self, now: Instant) -> Option<(u32, Duration)> {
+        let age = now.saturating_duration_since(self.created);
+        self.ungranted.map(|calls| (calls, age))
+    }
+
     /// Returns the usage to report, or `None` if no calls were offered, and resets the
     /// counters.
     pub fn take_usage(&mut self, key: LimitKey) -> Option<Usage> {
--- a/src/daemon/limits.rs
+++ b/src/daemon/limits.rs
@@ -11,6 +11,7 @@
 use cicadashift_core::limit::share::Limiter;
 use cicadashift_core::limit::{Grant, LimitKey, NOTICE_EVERY, Notice, REPORT_EVERY, Usage};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -116,7 +117,10 @@
             // limit that the version here does not have.
             return Grant { key: usage.key, share: Grant::ALL };
         };
-        let account = accounts.entry(usage.key).or_insert_with(|| Account::new(now));
+        let account = accounts.entry(usage.key).or_insert_with(|| {
+            log::info!("limit {}: an account is opened here, {parts}", usage.key);
+            Account::new(now)
+        });
         account.add_usage(usage, part, now);
         account.grant(usage.key, part)
     };
@@ -138,6 +142,12 @@
     dead: usize,
 }
 
+impl fmt::Display for QuotaParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "for {} of {} daemons", self.live, self.live + self.dead)
+    }
+}
+
 impl QuotaParts {
     fn current(d: &Daemon) -> QuotaParts {
         let (live, dead) = (d.members.live_count(), d.members.dead_count());
@@ -205,7 +215,9 @@
     let now = d.clock.now();
     for grant in &notice.grants {
         let mut limiters = lock(d.limits.shard(grant.key));
-        limiters.entry(grant.key).or_insert_with(|| Limiter::new(now)).apply_grant(*grant, now);
+        let limiter = limiters.entry(grant.key).or_insert_with(|| Limiter::new(now));
+        log_first_grant(limiter, *grant, now);
+        limiter.apply_grant(*grant, now);
     }
     for host in d.members.urgent_targets() {
         datagrams::send_notice(d, host, notice.clone()).await;
@@ -217,11 +229,27 @@
     let now = d.clock.now();
     for grant in grants {
         if let Some(limiter) = lock(d.limits.shard(grant.key)).get_mut(&grant.key) {
+            log_first_grant(limiter, *grant, now);
             limiter.apply_grant(*grant, now);
         }
     }
 }
 
+/// Logs the first grant for a limit if it is throttled: what was admitted before it counts
+/// against the quota, and no grant restricted it.
+fn log_first_grant(limiter: &Limiter, grant: Grant, now: Instant) {
+    let Some((admitted, age)) = limiter.admitted_before_first_grant(now) else { return };
+    if grant.share < Grant::ALL {
+        log::info!(
+            "limit {}: first grant, {} of {} after {} ms; {admitted} calls admitted before",
+            grant.key,
+            grant.share,
+            Grant::ALL,
+            age.as_millis()
+        );
+    }
+}
+
 /// Groups usage reports by the keeper of each limit.
 ///
 /// Keepers are chosen by rendezvous hashing: daemons whose membership tables agree choose
