Ask daemons of an older build for the complete configuration

Callers at daemons of the new build got a change 2.1 s after it was accepted (2 s): an old follower that keeps the version held here answers the request for the complete text with a delta of the old encoding, which is of no use, at each heartbeat anew ('peer sent a response of the wrong kind'), until another source is due.

Change: the complete text is asked for from version zero, for which every build sends it.

--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -328,10 +328,15 @@
     if held > 0 && fetch_delta(d, to, held, &text).await? == DeltaOutcome::Done {
         return Ok(());
     }
-    let Some(update) = request_update(d, to, &Request::Document { held }).await? else {
+    // A daemon of a build before signatures sends a delta of another encoding if it keeps the
+    // version held here. From version zero it sends the complete text.
+    let Some(update) = request_update(d, to, &Request::Document { held: 0 }).await? else {
         return Ok(());
     };
     let UpdateBody::Complete(text) = update.body else { return Err(MeshError::Unexpected) };
+    if update.version <= held {
+        return Ok(());
+    }
     log::info!("version {} comes whole from {to}", update.version);
     install_text(d, Bytes::from(text.into_vec()), update.revision, "member");
     Ok(())
