--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -8,11 +8,20 @@
 use common::run;
 use serde_json::{Value, json};
 use std::path::Path;
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 const TOWN: &str = "Bearer key-of-town";
 const CLINIC: &str = "Bearer key-of-clinic";
 
+/// Time before a mesh is split, in which its quotas are throttled, and time after it.
+const SPLIT_AFTER: Duration = Duration::from_secs(6);
+const SPLIT_TIME: Duration = Duration::from_secs(6);
+/// Any span of this length must keep the quota.
+const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+
 /// A configuration with two organisations; `/open/` needs no key.
 fn with_organisations(version: u64, rate_per_s: u64) -> Value {
     let mut cfg = config(version, &["/notices/", "/open/"]);
@@ -151,6 +160,84 @@
     });
 }
 
+#[test]
+fn a_quota_holds_while_a_split_mesh_finds_out_who_is_lost() {
+    // Guards against keepers of both parts that grant the whole quota while the daemons of the
+    // other part are suspected and not yet taken for dead.
+    const RATE: u64 = 120;
+    const OVER: u64 = 7;
+    const DAEMONS: usize = 8;
+    run(async {
+        let program = Path::new(env!("CARGO_BIN_EXE_cicadashift"));
+        let fleet = HostedFleet::serving_over_mesh_links(program, DAEMONS).await;
+        let mut cfg = with_organisations(2, RATE);
+        cfg["Tenants"][0]["Burst"] = json!(1);
+        fleet.store.put(CONFIG_KEY, cfg.to_string().as_bytes());
+        let until = Instant::now() + SPLIT_AFTER + SPLIT_TIME;
+        let served = Mutex::new(Vec::new());
+        let interval = Duration::from_secs(DAEMONS as u64).div_f64((RATE * OVER) as f64);
+        let split = async {
+            smol::Timer::after(SPLIT_AFTER).await;
+            split_domains(&fleet);
+        };
+        let calls = (0..DAEMONS).map(|i| call_until(&fleet, i, until, interval, &served));
+        smol::future::zip(all(calls.map(Box::pin).collect()), split).await;
+        let served = served.into_inner().expect("no test task panics");
+        let most = most_in_window(served, QUOTA_WINDOW);
+        let allowed = (RATE * QUOTA_WINDOW.as_secs() + 1) * 11 / 10 + 20;
+        assert!(most as u64 <= allowed, "{most} of {allowed}");
+        assert!(most as u64 >= RATE * QUOTA_WINDOW.as_secs() / 2, "{most} of {allowed}");
+    });
+}
+
+/// Drops all datagrams between the two failure domains of a fleet.
+fn split_domains(fleet: &HostedFleet) {
+    for (i, daemon) in fleet.daemons.iter().enumerate() {
+        let others = fleet.daemons.iter().enumerate().filter(|(j, _)| (*j < 2) != (i < 2));
+        let senders = others.map(|(_, other)| other.callers.ip()).collect();
+        daemon.mesh_link.as_ref().expect("links").block(senders);
+    }
+}
+
+/// Calls a daemon at an interval, whatever it answers, and records when calls were served.
+async fn call_until(
+    fleet: &HostedFleet,
+    i: usize,
+    until: Instant,
+    interval: Duration,
+    served: &Mutex<Vec<Instant>>,
+) {
+    let mut next = Instant::now() + interval.mul_f64(i as f64 / 8.0);
+    let mut n = 0;
+    while next < until {
+        smol::Timer::at(next).await;
+        next += interval;
+        n += 1;
+        let id = format!("town-{i}-{n}");
+        let sent = Instant::now();
+        let got = status(fleet, i, "/notices/1", &id, &[("authorization", TOWN)]).await;
+        if got == Some(200) {
+            served.lock().expect("no test task panics").push(sent);
+        }
+    }
+}
+
+/// Polls all futures until they have ended.
+async fn all<F: Future<Output = ()> + Unpin>(mut futures: Vec<F>) {
+    std::future::poll_fn(|cx| {
+        futures.retain_mut(|future| Pin::new(future).poll(cx).is_pending());
+        if futures.is_empty() { Poll::Ready(()) } else { Poll::Pending }
+    })
+    .await;
+}
+
+fn most_in_window(mut times: Vec<Instant>, window: Duration) -> usize {
+    times.sort();
+    let count =
+        |from: Instant| times.iter().filter(|at| (from..from + window).contains(*at)).count();
+    times.iter().map(|from| count(*from)).max().unwrap_or(0)
+}
+
 /// Runs `cicadashift organisation` against the first daemon; returns whether it succeeded and
 /// its output.
 async fn organisation(fleet: &HostedFleet, args: &[&str]) -> (bool, String) {
