--- a/crates/core/src/config/delta.rs
+++ b/crates/core/src/config/delta.rs
@@ -28,6 +28,9 @@
 const MAX_TEXT_BYTES: usize = 4 << 20;
 /// Bytes of a fingerprint.
 const FINGERPRINT_BYTES: usize = 8;
+/// Initial value and prime of the FNV-1a hash of 64 bits.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
 /// Fingerprints of the chunks of a text, in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,7 +47,7 @@
     fn positions(&self) -> HashMap<u64, u32> {
         let mut positions = HashMap::new();
         for (bytes, i) in self.0.chunks_exact(FINGERPRINT_BYTES).zip(0..) {
-            let fingerprint = bytes.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte));
+            let fingerprint = bytes.iter().fold(0, |bits, byte| bits << 8 | u64::from(*byte));
             positions.entry(fingerprint).or_insert(i);
         }
         positions
@@ -156,10 +159,6 @@
     (len > 0).then(|| Chunk { bytes: &text[..len], fingerprint })
 }
 
-/// Initial value and prime of the FNV-1a hash of 64 bits.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
 /// Continues an FNV-1a hash. Daemons of different builds compute the same fingerprints, which
 /// the hashes of the standard library do not promise.
 fn fnv(start: u64, bytes: &[u8]) -> u64 {
