Add adaptive throttling at the entry daemon, as a decision without I/O

Ruled out: counting calls that upstreams shed, since their share doesn't depend on how many are sent; and no bound on the refused share, with which a kind that hosts refuse in a constant share is given up.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod returning;
 pub mod suspects;
+pub mod throttle;
 
 use std::time::Duration;
 
