Bound the log lines of refused requests, and write lines in batches

Cause: a refused request wrote up to eight decision lines, each a JSON object, unbounded, and each woke the writer's thread; that is work in just the moment when processor time is short.

Change: lines about failed attempts, and lines about requests that the daemon answers itself, have a limit a second each (log.failed_per_s), and what is left out is counted. The refuse line lists the attempts, so that it alone explains the request. The writer collects lines for 20 ms.

Not measured by itself.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -57,8 +57,8 @@
             ExplainError::Unreadable { path, why } => write!(f, "{}: {why}", path.display()),
             ExplainError::NotFound { request, lines } => write!(
                 f,
-                "none of {lines} lines names request {request}; ordinary lines beyond \
-                 `log.ordinary_per_s` are left out, those of failed requests are not"
+                "none of {lines} lines names request {request}; lines beyond \
+                 `log.ordinary_per_s` and `log.failed_per_s` are left out"
             ),
         }
     }
--- a/src/daemon/request/attempts/history.rs
+++ b/src/daemon/request/attempts/history.rs
@@ -1,6 +1,7 @@
 //! The outcome of a call's attempts so far, and what follows for the next attempt.
 
 use crate::daemon::request::answer::Answer;
+use crate::daemon::request::log_lines::TriedUpstream;
 use crate::daemon::request::send::SendOptions;
 use crate::daemon::request::trial::Trial;
 use crate::daemon::services::Target;
@@ -34,6 +35,8 @@
     pub full: Vec<UpstreamKey>,
     /// Refusals by hosts that had no free slot; `MAX_FULL_REFUSALS` once the call may wait.
     pub full_refusals: u32,
+    /// The attempts that brought no answer, for the log.
+    pub missed: Vec<TriedUpstream>,
     /// Attempts that reached an upstream or may have.
     pub arrivals: u32,
     /// Reason of the last refusal, and the shortest `Retry-After` of all refusals.
@@ -77,6 +80,11 @@
         now < *self.held_back_since.get_or_insert(now) + MAX_STAGE_WAIT
     }
 
+    /// Records an attempt that brought no answer, for the log.
+    pub fn record_missed(&mut self, target: &Target, why: &'static str) {
+        self.missed.push(TriedUpstream { upstream: target.instance.clone(), why });
+    }
+
     /// Records that a host had no free slot.
     pub fn record_full(&mut self, key: UpstreamKey) {
         self.full.push(key);
--- a/src/daemon/request/attempts/mod.rs
+++ b/src/daemon/request/attempts/mod.rs
@@ -78,6 +78,7 @@
             }
             AttemptResult::NoAnswer(attempt, reason) => (attempt, reason),
         };
+        history.record_missed(&target, reason);
         if reason == FULL {
             history.record_full(target.choice.key);
             continue;
@@ -120,7 +121,8 @@
             RetryDecision::Refuse { retry_after } => {
                 // An upstream that refused earlier may be free sooner than the last one.
                 let wait = history.last_refusal.map_or(retry_after, |(_, wait)| wait);
-                return refuse(d, &call, reason, retry_after.min(wait.max(MIN_RETRY_AFTER)));
+                let wait = retry_after.min(wait.max(MIN_RETRY_AFTER));
+                return refuse(d, &call, &history.missed, reason, wait);
             }
             RetryDecision::Answer | RetryDecision::Unknown => {
                 return give_up_unknown(d, &call, history, reason);
@@ -189,7 +191,7 @@
 ) -> Response<Body> {
     match history.may_have_run {
         true => give_up_unknown(d, call, history, reason),
-        false => refuse(d, call, reason, retry_after),
+        false => refuse(d, call, &history.missed, reason, retry_after),
     }
 }
 
@@ -201,6 +203,6 @@
 ) -> Response<Body> {
     match history.failure {
         Some(answer) => answer.into_response(),
-        None => unknown(d, call, reason),
+        None => unknown(d, call, &history.missed, reason),
     }
 }
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -10,6 +10,7 @@
 use super::{headers, paced};
 use crate::daemon::Daemon;
 use crate::daemon::source::MAX_CALLER_IDLE;
+use crate::logging::{DecisionClass, rate_limited_decision};
 use cicadashift_core::config::Route;
 use cicadashift_core::config::compile::RoutingTable;
 use cicadashift_core::config::organisation::Account;
@@ -106,14 +107,7 @@
     if let Some(account) = &organisation
         && !is_within_quota(d, account, started >= first_arrival + route.objective(), started)
     {
-        if let Some(caller_deadline) = caller_deadline {
-            d.returning_callers.record_unanswered(
-                KindKey(kind),
-                first_arrival,
-                caller_deadline,
-                started,
-            );
-        }
+        expect_return(d, kind, first_arrival, caller_deadline);
         return over_quota(d, &request_id, version, &account.name);
     }
     let timeout = caller_timeout.map_or(route.deadline(), |caller_timeout| {
@@ -179,17 +173,20 @@
         d.limits.give_back(account.limit);
     }
     // A caller that got no answer may send the call again.
-    if let Some(caller_deadline) = caller_deadline.filter(|_| res.status().is_server_error()) {
-        d.returning_callers.record_unanswered(
-            KindKey(kind),
-            first_arrival,
-            caller_deadline,
-            d.clock.now(),
-        );
+    if res.status().is_server_error() {
+        expect_return(d, kind, first_arrival, caller_deadline);
     }
     res
 }
 
+/// Records that the caller of an unanswered call may send it again.
+fn expect_return(d: &Daemon, kind: u64, first_arrival: Instant, deadline: Option<Instant>) {
+    if let Some(deadline) = deadline {
+        let now = d.clock.now();
+        d.returning_callers.record_unanswered(KindKey(kind), first_arrival, deadline, now);
+    }
+}
+
 /// Returns when a call with this deadline first arrived, if its caller got no answer then
 /// and has now sent it again.
 fn first_arrival(d: &Daemon, kind: u64, until: Option<Instant>) -> Option<Instant> {
@@ -261,10 +258,11 @@
     d.metrics.incr("call.over_quota");
     let retry_after = jitter(OVER_QUOTA_RETRY_AFTER, fastrand::u64(..));
     let status = StatusCode::TOO_MANY_REQUESTS;
-    crate::logging::decision(&RefuseLine {
+    let line = RefuseLine {
         organisation,
         ..refuse_line(d, request, version, "over-quota", status, retry_after)
-    });
+    };
+    rate_limited_decision(DecisionClass::Refusal, &line);
     let mut res = headers::not_run("over-quota", retry_after, d.dialect.fractional_retry_after);
     *res.status_mut() = status;
     res
@@ -296,7 +294,8 @@
     status: StatusCode,
     retry_after: Duration,
 ) {
-    crate::logging::decision(&refuse_line(d, request, version, why, status, retry_after));
+    let line = refuse_line(d, request, version, why, status, retry_after);
+    rate_limited_decision(DecisionClass::Refusal, &line);
 }
 
 fn refuse_line<'a>(
@@ -315,6 +314,7 @@
         service: "",
         why,
         status: status.as_u16(),
+        tried: &[],
         took_ms: 0,
         retry_after_ms: retry_after.as_millis() as u64,
         config_age_ms: d.versions.document.confirmed_age_ms(d.clock.now()),
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -10,6 +10,7 @@
 use crate::daemon::gates::local::{LocalUpstream, SlotPermit};
 use crate::daemon::in_band::{self, Signals};
 use crate::daemon::{Daemon, lock, quarantine};
+use crate::logging::{DecisionClass, rate_limited_decision};
 use cicadashift_core::request::gate::pace::NamedLimit;
 use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
 use cicadashift_core::request::jitter;
@@ -441,8 +442,12 @@
 ) {
     let load = local.map(|local| local.load()).unwrap_or_default();
     let waited = d.clock.now().saturating_duration_since(since);
-    crate::logging::rate_limited_decision(
-        result == "run",
+    let class = match result {
+        "run" => DecisionClass::Ordinary,
+        _ => DecisionClass::FailedAttempt,
+    };
+    rate_limited_decision(
+        class,
         &AdmitLine {
             kind: "admit",
             request: &cx.request_id,
--- a/src/daemon/request/log_lines.rs
+++ b/src/daemon/request/log_lines.rs
@@ -7,6 +7,7 @@
 use super::work::RoutedCall;
 use crate::daemon::Daemon;
 use crate::daemon::services::Target;
+use crate::logging::{DecisionClass, rate_limited_decision};
 use cicadashift_core::request::choose::Reason;
 use cicadashift_core::request::retry::{Attempt, RetryDecision};
 use serde::Serialize;
@@ -63,6 +64,15 @@
     pub next: &'a str,
 }
 
+/// An attempt that brought no answer, in a [`RefuseLine`].
+#[derive(Clone, Debug, Serialize)]
+pub struct TriedUpstream {
+    /// The upstream instance.
+    pub upstream: String,
+    /// Why the attempt failed.
+    pub why: &'static str,
+}
+
 /// Line of an entry daemon that sent the caller a response of its own in place of an
 /// upstream's answer.
 #[derive(Serialize)]
@@ -82,6 +92,9 @@
     pub why: &'a str,
     /// Status code of the response.
     pub status: u16,
+    /// The upstreams that did not answer, in the order of the attempts, each with the reason.
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    pub tried: &'a [TriedUpstream],
     /// Milliseconds since the request was read.
     pub took_ms: u64,
     /// Milliseconds after which the caller is asked to try again.
@@ -141,7 +154,11 @@
         age_ms: now.saturating_duration_since(call.first_arrival).as_millis() as u64,
         rank: call.priority.0,
     };
-    crate::logging::rate_limited_decision(attempt == 1, &line);
+    let class = match attempt {
+        1 => DecisionClass::Ordinary,
+        _ => DecisionClass::FailedAttempt,
+    };
+    rate_limited_decision(class, &line);
 }
 
 /// Logs how an attempt ended that brought no answer to pass on, and what follows.
@@ -164,7 +181,7 @@
         RetryDecision::Refuse { .. } => "refuse",
         RetryDecision::Answer | RetryDecision::Unknown => "give-up",
     };
-    crate::logging::decision(&MissedLine {
+    let line = MissedLine {
         kind: "missed",
         request: &call.request_id,
         upstream: &target.instance,
@@ -172,5 +189,6 @@
         outcome,
         took_ms: d.clock.now().saturating_duration_since(began).as_millis() as u64,
         next,
-    });
+    };
+    rate_limited_decision(DecisionClass::FailedAttempt, &line);
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -16,6 +16,9 @@
 
 /// Log target of decision lines.
 pub const DECISION: &str = "decision";
+/// Time for which the writer collects lines before it writes them. A daemon with little
+/// processor time would otherwise wake the writer for each line.
+const WRITE_DELAY: Duration = Duration::from_millis(20);
 
 static LOST_LINES: AtomicU64 = AtomicU64::new(0);
 
@@ -34,9 +37,11 @@
     Logger::with(specification(log)).log_to_writer(Box::new(writer)).start()
 }
 
-/// Returns the log filter for the settings, and sets the rate limit of ordinary lines.
+/// Returns the log filter for the settings, and sets the rate limits of decision lines.
 pub fn specification(log: &settings::Log) -> LogSpecification {
     ORDINARY_LIMIT.max_per_s.store(log.ordinary_per_s, Ordering::Relaxed);
+    ATTEMPT_LIMIT.max_per_s.store(log.failed_per_s, Ordering::Relaxed);
+    REFUSAL_LIMIT.max_per_s.store(log.failed_per_s, Ordering::Relaxed);
     let level = log.level.parse().unwrap_or(log::LevelFilter::Info);
     let mut spec = LogSpecification::builder();
     spec.default(level);
@@ -54,23 +59,47 @@
     }
 }
 
-/// Logs a decision; if `is_ordinary`, subject to a rate limit.
+/// Decisions whose lines share a rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DecisionClass {
+    /// Requests that run as usual.
+    Ordinary,
+    /// Attempts that failed, and what followed.
+    FailedAttempt,
+    /// Requests that the daemon answers itself. Separate from [`DecisionClass::FailedAttempt`],
+    /// since this line alone names the cause, and one request may have several failed attempts.
+    Refusal,
+}
+
+impl DecisionClass {
+    fn limit(self) -> &'static LineLimit {
+        match self {
+            DecisionClass::Ordinary => &ORDINARY_LIMIT,
+            DecisionClass::FailedAttempt => &ATTEMPT_LIMIT,
+            DecisionClass::Refusal => &REFUSAL_LIMIT,
+        }
+    }
+}
+
+/// Logs a decision within the rate limit of its class.
 ///
-/// Of the ordinary decisions in a second, the first `ordinary_per_s` are logged and the
-/// others are counted.
-pub fn rate_limited_decision<T: Serialize>(is_ordinary: bool, event: &T) {
-    if !is_ordinary || ORDINARY_LIMIT.try_acquire() {
+/// The first lines of each second are logged and the others are counted. Under overload a
+/// daemon refuses hundreds of requests a second, and their lines would take processor time
+/// from the requests that it can serve.
+pub fn rate_limited_decision<T: Serialize>(class: DecisionClass, event: &T) {
+    if class.limit().try_acquire() {
         decision(event);
     }
 }
 
-/// Rate limit of the ordinary lines of this process.
-static ORDINARY_LIMIT: LineLimit =
-    LineLimit { max_per_s: AtomicU64::new(0), second: AtomicU64::new(0), used: AtomicU64::new(0) };
+/// Rate limits of the lines of this process.
+static ORDINARY_LIMIT: LineLimit = LineLimit::new();
+static ATTEMPT_LIMIT: LineLimit = LineLimit::new();
+static REFUSAL_LIMIT: LineLimit = LineLimit::new();
 
 static OMITTED_LINES: AtomicU64 = AtomicU64::new(0);
 
-/// Returns the number of ordinary lines omitted by the rate limit since the start.
+/// Returns the number of decision lines omitted by the rate limits since the start.
 pub fn omitted_lines() -> u64 {
     OMITTED_LINES.load(Ordering::Relaxed)
 }
@@ -85,6 +114,14 @@
 }
 
 impl LineLimit {
+    const fn new() -> LineLimit {
+        LineLimit {
+            max_per_s: AtomicU64::new(0),
+            second: AtomicU64::new(0),
+            used: AtomicU64::new(0),
+        }
+    }
+
     fn try_acquire(&self) -> bool {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = since_epoch.as_secs();
@@ -162,6 +199,9 @@
     let mut out = std::io::BufWriter::new(std::io::stdout());
     let mut reported = 0;
     while let Ok(item) = rx.recv() {
+        if matches!(item, QueueItem::Line(_)) {
+            std::thread::sleep(WRITE_DELAY);
+        }
         write_one(&mut out, item);
         while let Ok(item) = rx.try_recv() {
             write_one(&mut out, item);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -234,6 +234,9 @@
     /// Maximum ordinary decision lines per second; further ones are omitted and counted.
     /// Lines about requests that were refused, retried or failed are not ordinary.
     pub ordinary_per_s: u64,
+    /// Maximum decision lines per second about failed attempts, and as many about requests
+    /// that the daemon answers itself; further ones are omitted and counted.
+    pub failed_per_s: u64,
     /// Lines buffered while the output is slow; further ones are dropped and counted.
     pub buffer_lines: usize,
 }
@@ -245,6 +248,7 @@
             json: true,
             decisions: true,
             ordinary_per_s: 20,
+            failed_per_s: 50,
             buffer_lines: 1024,
         }
     }
