Refuse calls at the entry while hosts have no room for their kind

The check comes after the route and the key are known and before the quota, the body and the digest, so that such a refusal takes no quota and costs little. It is not run, and says when to come back.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -43,6 +43,7 @@
 pub mod sources;
 pub mod stage;
 pub mod status;
+pub mod throttles;
 pub mod tunable;
 pub mod upstreams;
 pub mod versions;
@@ -138,6 +139,8 @@
     pub liveness: Mutex<Liveness>,
     /// Callers that were refused and are expected to return.
     pub returning_callers: callers::ShardedReturningCallers,
+    /// Calls that are refused at the entry, since hosts refuse most calls of their kind.
+    pub throttles: throttles::ShardedThrottle,
     /// Quarantine of calls that end the upstreams which run them.
     pub quarantine: quarantine::Quarantine,
     /// Rate limits that all daemons enforce together.
@@ -383,6 +386,7 @@
             members: members::Members::new(&settings, me, incarnation, ports.mesh, clock.now()),
             liveness: Mutex::default(),
             returning_callers: callers::ShardedReturningCallers::default(),
+            throttles: throttles::ShardedThrottle::default(),
             quarantine: quarantine::Quarantine::default(),
             limits: limits::MeshLimits::default(),
             in_band_signals: in_band::RememberedSignals::default(),
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -104,6 +104,16 @@
     let caller_timeout = caller_timeout.map(Duration::from_millis);
     let caller_deadline = caller_timeout.map(|caller_timeout| started + caller_timeout);
     let first_arrival = first_arrival(d, kind, caller_deadline).unwrap_or(started);
+    let priority = match &organisation {
+        Some(account) => route.priority.within(account.priority),
+        None => route.priority,
+    };
+    if d.settings.load.throttle
+        && let Err(wait) = d.throttles.admit(KindKey(kind), priority, started)
+    {
+        expect_return(d, kind, first_arrival, caller_deadline);
+        return refuse_throttled(d, &request_id, &route, version, wait);
+    }
     if let Some(account) = &organisation
         && !is_within_quota(d, account, started >= first_arrival + route.objective(), started)
     {
@@ -142,10 +152,6 @@
         None => (part, None),
     };
     let repeatable = route.may_repeat(head.method.as_str());
-    let priority = match &organisation {
-        Some(account) => route.priority.within(account.priority),
-        None => route.priority,
-    };
     let objective = first_arrival + route.objective();
     let deadline = d.latest_end(started + timeout);
     let call = RoutedCall {
@@ -172,6 +178,7 @@
     if let Some(account) = organisation.filter(|_| headers::is_not_run(res.headers())) {
         d.limits.give_back(account.limit);
     }
+    d.throttles.record(KindKey(kind), priority, res.headers(), d.clock.now());
     // A caller that got no answer may send the call again.
     if res.status().is_server_error() {
         expect_return(d, kind, first_arrival, caller_deadline);
@@ -268,6 +275,26 @@
     res
 }
 
+/// Refuses a call of a kind that hosts have no room for; see
+/// [`cicadashift_core::request::throttle`].
+fn refuse_throttled(
+    d: &Daemon,
+    request: &str,
+    route: &Route,
+    version: u64,
+    wait: Duration,
+) -> Response<Body> {
+    d.metrics.incr("call.throttled");
+    let retry_after = jitter(wait, fastrand::u64(..));
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let line = RefuseLine {
+        service: &route.service,
+        ..refuse_line(d, request, version, "throttled", status, retry_after)
+    };
+    rate_limited_decision(DecisionClass::Refusal, &line);
+    headers::not_run("throttled", retry_after, d.dialect.fractional_retry_after)
+}
+
 /// Returns whether the version in force is certainly the newest. With the product's own
 /// platform interface, which has no adapter, it is assumed to be.
 fn is_config_current(d: &Daemon, now: Instant) -> bool {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,11 +126,13 @@
     pub overlap: bool,
     /// Measure the waiting time of a returning caller from its first, refused call.
     pub returning: bool,
+    /// Refuse calls at the entry while hosts refuse most calls of their kind.
+    pub throttle: bool,
 }
 
 impl Default for LoadPolicy {
     fn default() -> LoadPolicy {
-        LoadPolicy { overlap: true, returning: true }
+        LoadPolicy { overlap: true, returning: true, throttle: true }
     }
 }
 
