Keep the logs of a failed hosted test, and trace the refused request

Cause: a request that a test expected to be served was answered 503 or 504 under load, and the logs of the daemons went with the failed test, so that neither case could be traced. Change: the directory of a fleet stays when its test panics, and its path is printed; two checks of tests/crashing.rs print the lines of all daemons about the request. No check is changed.

--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -56,7 +56,8 @@
     DomainLinks,
 }
 
-/// The daemons of one mesh. Dropping it kills every process.
+/// The daemons of one mesh. Dropping it kills every process, and removes the logs unless
+/// the test failed.
 pub struct HostedFleet {
     /// The daemons: the first two are in failure domain `a`, the others in `b`.
     pub daemons: Vec<Daemon>,
@@ -235,6 +236,21 @@
         std::fs::read_to_string(&self.daemons[i].log).unwrap_or_default()
     }
 
+    /// Returns the lines of all daemons about a request, in order of time: what was decided
+    /// for it and why.
+    pub fn trace(&self, id: &str) -> String {
+        let field = format!("\"request\":\"{id}\"");
+        let logs: Vec<_> = (0..self.daemons.len()).map(|i| (i, self.log(i))).collect();
+        let mut lines: Vec<_> = logs
+            .iter()
+            .flat_map(|(i, log)| log.lines().map(move |line| (line, i)))
+            .filter(|(line, _)| line.contains(&field))
+            .collect();
+        // Every line begins with its time.
+        lines.sort();
+        lines.iter().map(|(line, i)| format!("\nhost-{i} {line}")).collect()
+    }
+
     /// Returns whether a daemon reports that it is ready.
     pub async fn is_ready(&self, i: usize) -> bool {
         let req = Request::get("/cicadashift/ready").header("host", "ready").body(body::empty());
@@ -393,7 +409,11 @@
             self.signal(i, "-CONT");
             self.kill(i);
         }
-        let _best_effort = std::fs::remove_dir_all(&self.dir);
+        if std::thread::panicking() {
+            eprintln!("the logs of the failed test are in {}", self.dir.display());
+        } else {
+            let _best_effort = std::fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -96,7 +96,8 @@
         assert!(late <= MAX_LATE_RUNS, "{late} late runs, {} in all, of {n} calls", runs.len());
         for n in 0..40 {
             let id = format!("after-{n}");
-            assert_eq!(fleet.status(n % 4, &format!("/notices/{n}"), &id).await, Some(200));
+            let status = fleet.status(n % 4, &format!("/notices/{n}"), &id).await;
+            assert_eq!(status, Some(200), "request {n}: {}", fleet.trace(&id));
         }
     });
 }
@@ -260,8 +261,10 @@
             }
             wait_for_instances(&fleet, 4).await;
             for n in 0..24 {
-                let status = fleet.status(n % 4, &path(n), &format!("after-{round}-{n}")).await;
-                assert_eq!(status, Some(200), "round {round}, request {n}");
+                let id = format!("after-{round}-{n}");
+                let status = fleet.status(n % 4, &path(n), &id).await;
+                let trace = fleet.trace(&id);
+                assert_eq!(status, Some(200), "round {round}, request {n}: {trace}");
             }
         }
     });
