Suspect a call of an upstream's end only if it was sent there

What callers saw: two instances ended by themselves on a busy host, and a harmless call that came while they were gone was refused as quarantined (503) for ten minutes.

Cause: a call counted as in flight from the moment in which its connection was to be made. The call that first met a refused connection took every call that was about to be sent, itself included, for calls that the ended upstream ran. A call that met two such upstreams was a suspect of two ends; where the other suspects had gone elsewhere, no call shared its ends, and the verdict was certain.

Its logs: the call is admitted at both instances, is among the calls "at it" when each is found ended, and comes back `unreached`, not run, from both 50 and 72 ms later; 1.3 s later it is refused, `quarantined`, 598 s.

Change: a call that was not sent is taken back before the check whether the upstream ended, and a check that finds it ended waits, for 100 ms at most, until every other call in flight has broken or turned out unsent. What is suspected then has reached the upstream. A call that broke suspects itself as before, and an abandoned one as well. Clearing the end of an unsent call afterwards was ruled out: another call with the same contents may have run there.

--- a/src/daemon/gates/ended.rs
+++ b/src/daemon/gates/ended.rs
@@ -29,12 +29,18 @@
 const RECHECK_DELAY: Duration = Duration::from_millis(15);
 /// Timeout of a connection attempt to an address of this host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest wait until the calls to an upstream that ended have broken or turned out unsent.
+/// Their connections are closed already, so that only a busy host takes more than some
+/// milliseconds.
+const MAX_BREAK_WAIT: Duration = Duration::from_millis(100);
+/// Time between two checks whether they have.
+const BREAK_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Returns whether an upstream ended, after a call to it broke.
 ///
 /// Must be called while the call is still counted as in flight. The first call that finds
-/// the upstream ended removes the upstream and marks all calls in flight, and those abandoned
-/// lately, as suspect.
+/// the upstream ended removes the upstream and marks all calls that reached it, and those
+/// abandoned lately, as suspect.
 pub async fn check_after_broken_call(
     d: &Arc<Daemon>,
     local: &Arc<LocalUpstream>,
@@ -52,7 +58,8 @@
 /// Returns whether an upstream ended, after a connection to it could not be made.
 ///
 /// This also detects an end at which no call broke, because the callers of all calls in
-/// flight had disconnected before.
+/// flight had disconnected before. The call that was not sent must no longer be counted as
+/// in flight.
 pub async fn check_after_refused_connection(d: &Arc<Daemon>, local: &Arc<LocalUpstream>) -> bool {
     check(d, local).await
 }
@@ -75,6 +82,7 @@
         return false;
     }
     *last = LastCheck::Ended;
+    wait_for_broken_calls(local).await;
     let mut calls = local.in_flight();
     calls.extend(local.abandoned(d.clock.now()));
     let names: Vec<String> = calls.iter().map(|call| call.to_string()).collect();
@@ -85,6 +93,22 @@
     true
 }
 
+/// Waits until every call in flight to an upstream that ended has broken, so that those which
+/// were still to be sent are known.
+///
+/// Failure: upstreams end while calls are about to be sent to them. Symptom: a call that
+/// reached none of them is taken for a call that ended two, and is quarantined.
+async fn wait_for_broken_calls(local: &LocalUpstream) {
+    let all_broke = async {
+        while local.in_flight().len() > local.end_check.broken_calls.load(Ordering::Relaxed) {
+            smol::Timer::after(BREAK_POLL_INTERVAL).await;
+        }
+    };
+    if exec::timeout(MAX_BREAK_WAIT, all_broke).await.is_none() {
+        log::info!("upstream {}: calls in flight have not broken", local.name);
+    }
+}
+
 /// Returns whether an upstream stopped listening, after a call to it broke.
 async fn has_stopped_listening(local: &LocalUpstream) -> bool {
     if refuses_connections(local.address).await {
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -447,6 +447,11 @@
         lock(&self.local.state).in_flight.insert(self.ticket, call);
     }
 
+    /// Records that the call, which was to be sent, was not.
+    pub fn take_back(&self) {
+        lock(&self.local.state).in_flight.remove(&self.ticket);
+    }
+
     /// Records how the call ended.
     pub fn end(mut self, end: End, now: Instant) {
         self.ended = true;
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -168,6 +168,7 @@
         Some(Ok(received)) => received,
         Some(Err(err)) if err.is_unsent() => {
             local.record_connect_failure();
+            permit.take_back();
             ended::check_after_refused_connection(&d, &local).await;
             permit.end(End::Failed, d.clock.now());
             return not_run(&d, &cx, "unreached", UNREACHED_RETRY_AFTER, started, &local);
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -270,6 +270,32 @@
     });
 }
 
+#[test]
+fn calls_that_reached_no_upstream_are_not_suspected() {
+    // Both instances of a failure domain end, not because of a request, and new requests are
+    // sent to them before their daemons have noticed. Failure: the requests, which reached
+    // neither, count as in flight at both ends and are quarantined.
+    run(async {
+        let fleet = serving(4).await;
+        fleet.daemons[..2].iter().for_each(|node| node.instance.crash());
+        let calls: Vec<_> = (0..16)
+            .map(|n| {
+                let caller = fleet.caller(n % 2);
+                let (path, id) = (format!("/notices/early-{n}"), format!("early-{n}"));
+                exec::spawn(async move { caller.call(Method::GET, &path, &id).await })
+            })
+            .collect();
+        for (n, call) in calls.into_iter().enumerate() {
+            let status = call.await.map(|res| res.status().as_u16());
+            assert_eq!(status, Some(200), "{}", fleet.trace(&format!("early-{n}")));
+        }
+        for i in 0..4 {
+            let list = quarantine(&fleet, i, &["list"]).await;
+            assert!(!list.contains(" ended "), "{list}{}", fleet.log(i));
+        }
+    });
+}
+
 #[test]
 fn a_truncated_answer_does_not_count_as_an_end() {
     // Every instance truncates its answers for a while and continues to serve. The same
