Uneven upstreams: the pace of a machine in the core

Cause: upstreams report how slow their machine is now; nothing reads it. Change: request::machine holds a pace with its age and parses load reports; the gate divides learned times by the pace, stretches its estimates by it and can redirect a call; the entry's cost and learning take it into account. Ruled out: a hard cut-off of the pace without a fade, since a report may come at any moment of a pace's time.

--- a/crates/core/src/request/choose/cost.rs
+++ b/crates/core/src/request/choose/cost.rs
@@ -111,7 +111,7 @@
     fn cost(&self, key: UpstreamKey, demand: Demand, now: Instant) -> f64 {
         let upstream = self.at(key);
         let relative_time = if self.policy.latency { upstream.relative_time(now) } else { 1.0 };
-        let time = self.mean_ms(demand.kind) * relative_time;
+        let time = self.mean_ms(demand.kind) * relative_time * upstream.machine_factor(now);
         let load = upstream.load(now, self.policy) + 1.0;
         let slots = upstream.slots(now, self.policy);
         let wait = (load - slots).max(0.0) / slots;
@@ -147,7 +147,8 @@
         let in_time = usable.filter_map(|key| {
             let upstream = self.at(*key);
             let wait = upstream.wait_for_token(now)?;
-            let time = self.mean_ms(demand.kind) * upstream.relative_time(now) / 1e3;
+            let usual = self.mean_ms(demand.kind) * upstream.relative_time(now) / 1e3;
+            let time = usual * upstream.machine_factor(now);
             let needed = wait + Duration::from_secs_f64(time);
             (needed <= demand.objective).then_some((wait, *key))
         });
--- a/crates/core/src/request/choose/mod.rs
+++ b/crates/core/src/request/choose/mod.rs
@@ -34,6 +34,7 @@
 use crate::config::Priority;
 use crate::ids::HostKey;
 use crate::membership::record::Readiness;
+use crate::request::machine::PaceReport;
 use std::time::Duration;
 
 /// Round-trip time to another failure domain.
@@ -109,6 +110,8 @@
     pub accept_ratio: Option<f64>,
     /// Time until the next token, where the upstream names a rate limit.
     pub next_token: Option<Duration>,
+    /// Pace of its machine, where the upstream reports one and its last report is fresh.
+    pub pace: Option<PaceReport>,
 }
 
 /// How an attempt at an upstream ended.
@@ -124,6 +127,8 @@
     /// Not admitted since the call would have had to wait; another upstream may have a free
     /// slot.
     Full { report: LoadReport },
+    /// Not admitted since the upstream's machine is slow at the moment.
+    SlowHost { report: LoadReport },
     /// Refused and not run, since the host's link could not carry the large answer in time;
     /// the upstream itself may have a free slot.
     LinkBusy,
--- a/crates/core/src/request/choose/observe.rs
+++ b/crates/core/src/request/choose/observe.rs
@@ -47,6 +47,8 @@
         let Some(stats) = self.kinds.get(&demand.kind) else { return };
         let relative = elapsed.as_secs_f64() * 1e3 / stats.total.max(0.1);
         let upstream = self.at_mut(key);
+        // What the machine's momentary pace explains says nothing about the upstream.
+        let relative = relative / upstream.machine_factor(now).max(1.0);
         upstream.observe_relative_time(relative.max(1.0), now);
         upstream.record_error(now);
     }
@@ -78,8 +80,10 @@
     pub fn ended(&mut self, key: UpstreamKey, demand: Demand, outcome: Outcome, now: Instant) {
         let policy = self.policy;
         let relative = match outcome {
-            Outcome::Answered { service, total, .. } => {
-                Some(self.observe(demand.kind, service, total))
+            Outcome::Answered { service, total, report } => {
+                let machine = report.pace.map(|pace| pace.received(now).factor(now));
+                let usual = machine.map_or(service, |factor| service.div_f64(factor));
+                Some(self.observe(demand.kind, usual, total))
             }
             _ => None,
         };
@@ -92,7 +96,7 @@
                 upstream.record_answer(relative.unwrap_or(1.0), report.load, now);
                 upstream.apply_report(report, now);
             }
-            Outcome::Full { report } => {
+            Outcome::Full { report } | Outcome::SlowHost { report } => {
                 upstream.failures = 0;
                 upstream.apply_report(report, now);
             }
@@ -147,6 +151,7 @@
             Outcome::ErrorAnswer | Outcome::Failed => 1.0,
             Outcome::Refused { .. }
             | Outcome::Full { .. }
+            | Outcome::SlowHost { .. }
             | Outcome::LinkBusy
             | Outcome::HeldBack
             | Outcome::Unreached
@@ -160,6 +165,7 @@
             Outcome::Full { .. } | Outcome::Refused { .. } => 1.0,
             Outcome::Answered { .. } => 0.0,
             Outcome::ErrorAnswer
+            | Outcome::SlowHost { .. }
             | Outcome::LinkBusy
             | Outcome::HeldBack
             | Outcome::Unreached
--- a/crates/core/src/request/choose/picker.rs
+++ b/crates/core/src/request/choose/picker.rs
@@ -170,6 +170,36 @@
         upstream.load(now, self.policy) + 1.0 <= upstream.slots(now, self.policy)
     }
 
+    /// Returns whether another upstream probably has a free slot and is not slow at the moment,
+    /// so that a call which finds `key` slow may be sent there. False for a service whose
+    /// upstreams do not report the pace of their machines.
+    pub fn has_faster(
+        &self,
+        key: UpstreamKey,
+        demand: Demand,
+        now: Instant,
+        tried: &[UpstreamKey],
+    ) -> bool {
+        if !self.reports_pace() {
+            return false;
+        }
+        self.keys().any(|other| {
+            let upstream = self.at(other);
+            let is_near = self.is_far(key) || !self.is_far(other);
+            let is_new = other != key && !tried.contains(&other);
+            let is_open = upstream.takes_work()
+                && upstream.wait_for_token(now).is_none()
+                && !upstream.is_ejected_or_suspected(now)
+                && !upstream.is_backing_off(demand.priority, now);
+            is_new && is_near && is_open && !upstream.is_slow(now) && self.has_room(other, now)
+        })
+    }
+
+    /// Returns whether an upstream of the service has reported the pace of its machine.
+    pub fn reports_pace(&self) -> bool {
+        self.arena.iter().any(|upstream| upstream.present && upstream.machine.is_some())
+    }
+
     /// Returns whether a hedged attempt may be sent to an upstream.
     ///
     /// Failure: all slots of a service are full for seconds, and the load reports are some
@@ -177,7 +207,8 @@
     /// no slot yet wait longer.
     pub fn may_hedge(&self, key: UpstreamKey, now: Instant) -> bool {
         let has_token = self.at(key).wait_for_token(now).is_none();
-        has_token && self.has_room(key, now) && self.shortage < SHORTAGE_THRESHOLD
+        let is_fast = !self.at(key).is_slow(now);
+        has_token && is_fast && self.has_room(key, now) && self.shortage < SHORTAGE_THRESHOLD
     }
 
     fn keys(&self) -> impl Iterator<Item = UpstreamKey> {
--- a/crates/core/src/request/choose/upstream.rs
+++ b/crates/core/src/request/choose/upstream.rs
@@ -3,6 +3,7 @@
 use super::{LoadReport, Policy, UpstreamInfo};
 use crate::config::Priority;
 use crate::membership::record::Readiness;
+use crate::request::machine::MachinePace;
 use std::time::{Duration, Instant};
 
 /// Weight of a new observation in an upstream's relative time.
@@ -52,6 +53,8 @@
     pub accept_ratio: Option<(f64, Instant)>,
     /// When its next token comes, where it names a rate limit.
     pub next_token: Option<Instant>,
+    /// Last reported pace of its machine, where it reports one.
+    pub machine: Option<MachinePace>,
     /// Sort key for the daemon's subset, which has the upstreams with the lowest keys.
     pub subset_rank: u64,
 }
@@ -86,6 +89,7 @@
             back_off: None,
             accept_ratio: None,
             next_token: None,
+            machine: None,
             subset_rank,
         }
     }
@@ -158,6 +162,20 @@
         self.hint = report.load.map(|load| (load, now)).or(self.hint);
         self.accept_ratio = report.accept_ratio.map(|share| (share, now)).or(self.accept_ratio);
         self.next_token = report.next_token.map(|wait| now + wait);
+        if let Some(pace) = report.pace {
+            self.machine = Some(pace.received(now).newer(self.machine));
+        }
+    }
+
+    /// Returns the expected time of a call that begins now as a multiple of its usual time
+    /// here.
+    pub fn machine_factor(&self, now: Instant) -> f64 {
+        self.machine.map_or(1.0, |machine| machine.factor(now))
+    }
+
+    /// Returns whether its machine is much slower than usual.
+    pub fn is_slow(&self, now: Instant) -> bool {
+        self.machine.is_some_and(|machine| machine.is_slow(now))
     }
 
     /// Returns the share of the calls sent to it that it accepts.
--- a/crates/core/src/request/gate/admit.rs
+++ b/crates/core/src/request/gate/admit.rs
@@ -4,7 +4,8 @@
 use super::times::ServiceTimes;
 use super::{Admission, Arrival, CallerKey, End, KindKey, Refusal, Ticket, Wake};
 use crate::config::Priority;
-use crate::request::jitter;
+use crate::request::machine::MachinePace;
+use crate::request::{MIN_RETRY_AFTER, jitter};
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,9 @@
 /// Half-life of the share of refused calls while no calls are sent, so that an upstream that
 /// refused calls is tried again.
 const REFUSAL_HALF_LIFE: Duration = Duration::from_millis(2500);
+/// Time that a call loses by being sent to another upstream: a round trip and the processing
+/// in two daemons.
+const REDIRECT_COST: Duration = Duration::from_millis(20);
 /// Most queued calls, whatever their deadlines; bounds memory.
 pub const MAX_QUEUE: usize = 1024;
 
@@ -34,7 +38,7 @@
 pub struct Gate {
     pub(super) slots: u32,
     pub(super) limit: f64,
-    pub(super) running: BTreeMap<Ticket, KindKey>,
+    pub(super) running: BTreeMap<Ticket, Running>,
     pub(super) queue: BTreeMap<QueueKey, Arrival>,
     pub(super) queue_keys: HashMap<Ticket, QueueKey>,
     /// Queued calls by caller.
@@ -50,9 +54,19 @@
     draining: bool,
     /// Paces calls if the upstream names a limit.
     pub(super) pace: Pace,
+    /// Last reported pace of the upstream's machine, if it reports any.
+    pub(super) machine: Option<MachinePace>,
     pub(super) next_ticket: u64,
 }
 
+/// A call at the upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Running {
+    kind: KindKey,
+    /// Pace of the machine when the call was sent, where it was known then.
+    machine: Option<f64>,
+}
+
 impl Gate {
     /// Creates the gate of an upstream that runs `slots` calls at once.
     ///
@@ -74,6 +88,7 @@
             refused_share: (0.0, None),
             draining: false,
             pace: Pace::default(),
+            machine: None,
             next_ticket: 0,
         }
     }
@@ -155,9 +170,10 @@
             return Admission::Run(ticket);
         }
         let (for_slot, for_token) =
-            (self.wait_for_slot(&arrival), self.wait_for_token(&arrival, now));
+            (self.wait_for_slot(&arrival, now), self.wait_for_token(&arrival, now));
         let wait = for_slot.max(for_token);
-        let time_needed = wait + self.times.of(arrival.kind).mul_f64(MIN_ROOM_TO_QUEUE);
+        let time = self.expected_time(arrival.kind, now + wait);
+        let time_needed = wait + time.mul_f64(MIN_ROOM_TO_QUEUE);
         if now + time_needed > arrival.objective {
             if for_token > for_slot {
                 return self.refuse_over_limit(for_token, now);
@@ -174,6 +190,39 @@
         Admission::Wait(ticket)
     }
 
+    /// Returns the refusal of a call that should be sent elsewhere since the upstream's machine
+    /// is slow at the moment; `None` if the call is as well off here.
+    ///
+    /// Only for a call whose entry daemon knows another upstream with a free slot. A slow
+    /// machine would hold the call's slot, and with it those of the calls that wait for it,
+    /// for the whole excess, while asking another upstream costs [`REDIRECT_COST`].
+    pub fn redirect(&self, arrival: &Arrival, now: Instant) -> Option<Refusal> {
+        let machine = self.machine.filter(|_| !self.draining)?;
+        let usual = self.times.of(arrival.kind);
+        let expected = self.expected_time(arrival.kind, now);
+        let is_worth_it = expected >= usual + REDIRECT_COST;
+        let would_be_late = now + expected > arrival.objective;
+        let could_be_in_time = now + usual + REDIRECT_COST <= arrival.objective;
+        let should_move = machine.is_slow(now) || (would_be_late && could_be_in_time);
+        (is_worth_it && should_move).then_some(Refusal::SlowHost { retry_after: MIN_RETRY_AFTER })
+    }
+
+    /// Records the pace of the upstream's machine; an older one than the last is ignored.
+    pub fn observe_machine(&mut self, pace: MachinePace) {
+        self.machine = Some(pace.newer(self.machine));
+    }
+
+    /// Returns the last reported pace of the upstream's machine.
+    pub fn machine(&self) -> Option<MachinePace> {
+        self.machine
+    }
+
+    /// Returns the expected time of a call that begins at `at`.
+    pub(super) fn expected_time(&self, kind: KindKey, at: Instant) -> Duration {
+        let usual = self.times.of(kind);
+        self.machine.map_or(usual, |machine| usual.mul_f64(machine.factor(at)))
+    }
+
     fn refuse_over_limit(&mut self, wait: Duration, now: Instant) -> Admission {
         let retry_after = self.schedule_retry(now).map_or(wait, |token| token.max(wait));
         Admission::Refuse(Refusal::OverLimit { retry_after })
@@ -220,11 +269,15 @@
 
     /// Records the end of a running call and starts queued calls.
     pub fn ended(&mut self, ticket: Ticket, end: End, now: Instant) -> Vec<Wake> {
-        let Some(kind) = self.running.remove(&ticket) else { return Vec::new() };
+        let Some(Running { kind, machine }) = self.running.remove(&ticket) else {
+            return Vec::new();
+        };
         self.observe_refusal(end == End::Shed, now);
         match end {
             End::Answered(took) => {
-                self.times.observe(kind, took);
+                // A slow moment of the machine must not be learned as a slow kind of calls.
+                let factor = machine.or_else(|| Some(self.machine?.factor(now)));
+                self.times.observe(kind, factor.map_or(took, |factor| took.div_f64(factor)));
                 self.limit = (self.limit + 1.0).min(f64::from(self.slots));
             }
             End::Shed => self.lower_limit(now),
@@ -260,7 +313,9 @@
 
     pub(super) fn start(&mut self, ticket: Ticket, arrival: &Arrival, now: Instant) {
         self.pace.take_token(now);
-        self.running.insert(ticket, arrival.kind);
+        let fresh = self.machine.filter(|machine| machine.report(now).is_some());
+        let machine = fresh.map(|machine| machine.factor(now));
+        self.running.insert(ticket, Running { kind: arrival.kind, machine });
         self.recent_work.values_mut().for_each(|work| *work *= SHARE_DECAY);
         let time = self.times.of(arrival.kind).as_secs_f64();
         *self.recent_work.entry(arrival.priority).or_default() += time;
--- a/crates/core/src/request/gate/queue.rs
+++ b/crates/core/src/request/gate/queue.rs
@@ -26,11 +26,12 @@
     /// The work before the call and the time until a slot is free are divided by the number of
     /// calls that may run. More urgent calls will keep arriving, so only the share that they
     /// leave is counted.
-    pub(super) fn wait_for_slot(&self, arrival: &Arrival) -> Duration {
+    pub(super) fn wait_for_slot(&self, arrival: &Arrival, now: Instant) -> Duration {
         let before: Duration =
             self.queued_before(arrival).map(|before| self.times.of(before.kind)).sum();
         let left = 1.0 - self.urgent_share(arrival.priority);
-        (before + self.times.mean).div_f64(self.limit() as f64 * left)
+        let usual = (before + self.times.mean).div_f64(self.limit() as f64 * left);
+        self.machine.map_or(usual, |machine| machine.stretch(usual, now))
     }
 
     /// Returns the expected wait for a token of the upstream's limit of a call that arrives now.
@@ -87,7 +88,7 @@
             // A call that will most likely miss its deadline would take the slot of a call
             // that can meet its own, and its caller would get no answer anyway.
             let left = arrival.deadline.saturating_duration_since(now);
-            if left < self.times.of(arrival.kind).mul_f64(MIN_TIME_SHARE) {
+            if left < self.expected_time(arrival.kind, now).mul_f64(MIN_TIME_SHARE) {
                 wakes.push(Wake::Refuse(ticket, Refusal::TooLate));
                 continue;
             }
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -15,6 +15,7 @@
 pub mod choose;
 pub mod gate;
 pub mod link;
+pub mod machine;
 pub mod retry;
 pub mod returning;
 pub mod suspects;
--- a/crates/core/tests/held_back.rs
+++ b/crates/core/tests/held_back.rs
@@ -35,7 +35,7 @@
         priority: Priority::NORMAL,
         objective: Duration::from_millis(400),
     };
-    let report = LoadReport { load: None, accept_ratio: None, next_token: None };
+    let report = LoadReport { load: None, accept_ratio: None, next_token: None, pace: None };
     let refused = Outcome::Refused { retry_after: MIN_RETRY_AFTER, report };
     for (outcome, can_be_chosen) in [(Outcome::HeldBack, true), (refused, false)] {
         let mut picker = two_upstreams(now);
--- a/crates/core/tests/named_limits.rs
+++ b/crates/core/tests/named_limits.rs
@@ -210,6 +210,7 @@
             load: Some((gate.running() + gate.queued()) as u16),
             accept_ratio: Some(gate.acceptance_rate(self.now)),
             next_token: gate.schedule_retry(self.now),
+            pace: None,
         }
     }
 
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -332,6 +332,7 @@
                 .args
                 .get("next")
                 .map(|_| Duration::from_millis(number(case, "next", 0))),
+            pace: None,
         };
         let outcome = match arg(case, "as", "answered") {
             "refused" => Outcome::Refused { retry_after: time, report },
--- a/crates/measure/src/load/exit.rs
+++ b/crates/measure/src/load/exit.rs
@@ -99,6 +99,7 @@
             load: Some((gate.running() + gate.queued()) as u16),
             accept_ratio: Some(gate.acceptance_rate(self.instant(self.now()))),
             next_token: None,
+            pace: None,
         }
     }
 
