Uneven upstreams: first state

Cause: upstreams report how slow their machines are at the moment and nobody reads it. Change: the daemon decodes the load report once (in_band), the gate of the upstream keeps the pace with its time; answers and refusals between daemons carry it; the entry's cost takes it into account; a call for which another upstream has room is redirected once from a slow machine (slow-host); hedged attempts are timed by the distribution of a kind's times. Setting load.pace switches all of it off.

--- a/crates/core/src/request/choose/mod.rs
+++ b/crates/core/src/request/choose/mod.rs
@@ -21,6 +21,7 @@
 //! an answer. The admission control of the exit daemon compensates for that.
 
 mod cost;
+mod histogram;
 mod kinds;
 mod observe;
 mod picker;
@@ -143,6 +144,24 @@
     Cancelled,
 }
 
+impl Outcome {
+    /// Returns the load report, if the outcome has one.
+    fn report(&self) -> Option<&LoadReport> {
+        match self {
+            Outcome::Answered { report, .. }
+            | Outcome::Refused { report, .. }
+            | Outcome::Full { report }
+            | Outcome::SlowHost { report } => Some(report),
+            Outcome::ErrorAnswer
+            | Outcome::LinkBusy
+            | Outcome::HeldBack
+            | Outcome::Unreached
+            | Outcome::Failed
+            | Outcome::Cancelled => None,
+        }
+    }
+}
+
 /// The properties of a call that the choice depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Demand {
--- a/crates/core/src/request/choose/observe.rs
+++ b/crates/core/src/request/choose/observe.rs
@@ -44,7 +44,8 @@
         elapsed: Duration,
         now: Instant,
     ) {
-        let Some(stats) = self.kinds.get(&demand.kind) else { return };
+        let Some(stats) = self.kinds.get_mut(&demand.kind) else { return };
+        stats.totals.add(elapsed.as_secs_f64() * 1e3);
         let relative = elapsed.as_secs_f64() * 1e3 / stats.total.max(0.1);
         let upstream = self.at_mut(key);
         // What the machine's momentary pace explains says nothing about the upstream.
@@ -89,6 +90,7 @@
         };
         self.observe_error(outcome);
         self.observe_shortage(outcome);
+        self.paced |= outcome.report().is_some_and(|report| report.pace.is_some());
         let upstream = self.at_mut(key);
         upstream.outstanding = upstream.outstanding.saturating_sub(1);
         match outcome {
@@ -136,9 +138,7 @@
                 relative
             }
             None if has_room => {
-                let deviation = total / 2.0;
-                let large = false;
-                self.kinds.insert(kind, KindStats { service, total, deviation, large });
+                self.kinds.insert(kind, KindStats::new(service, total));
                 1.0
             }
             None => 1.0,
--- a/crates/core/src/request/choose/picker.rs
+++ b/crates/core/src/request/choose/picker.rs
@@ -20,6 +20,10 @@
 /// many times the mean.
 const LATE_MAX_MEANS: f64 = 3.0;
 const LATE_MAX_EXTRA_MS: f64 = 50.0;
+/// Share of the calls that are hedged at most until the retry budget is known.
+const DEFAULT_HEDGE_SHARE: f64 = 0.08;
+/// Share of the hedged attempts that are to be answered within the objective.
+const MOST_HEDGED: f64 = 0.9;
 /// Means of its kind that are reserved for a hedged attempt before the objective.
 const SECOND_ATTEMPT_MEANS: f64 = 1.3;
 
@@ -33,6 +37,10 @@
     pub(super) error_ratio: f64,
     /// Recent share of attempts that found no free slot.
     pub(super) shortage: f64,
+    /// Whether an upstream has reported the pace of its machine.
+    pub(super) paced: bool,
+    /// Share of the calls that may be hedged.
+    hedge_share: f64,
     pub(super) arena: Vec<Upstream>,
     index: HashMap<(HostKey, String), UpstreamKey>,
 }
@@ -46,6 +54,8 @@
             kinds: HashMap::new(),
             error_ratio: 0.0,
             shortage: 0.0,
+            paced: false,
+            hedge_share: DEFAULT_HEDGE_SHARE,
             arena: Vec::new(),
             index: HashMap::new(),
         }
@@ -70,6 +80,8 @@
         }
         // Upstreams are added last, since only now it is known which arena positions are free.
         added.into_iter().for_each(|item| self.add(item, now));
+        let reports = |upstream: &Upstream| upstream.present && upstream.machine.is_some();
+        self.paced = self.arena.iter().any(reports);
     }
 
     /// Adds an upstream at the arena position of one that left and has no outstanding calls,
@@ -156,6 +168,9 @@
     /// answer that late is probably lost, however long the objective is.
     pub fn hedge_after(&self, demand: Demand) -> Option<Duration> {
         let stats = self.kinds.get(&demand.kind)?;
+        if let Some(ms) = self.hedge_after_by_distribution(stats, demand) {
+            return Some(Duration::from_secs_f64(ms / 1e3));
+        }
         let objective = demand.objective.as_secs_f64() * 1e3;
         let earliest = stats.total + LATE_MIN_DEVIATIONS * stats.deviation;
         let latest = earliest.max(LATE_MAX_MEANS * stats.total + LATE_MAX_EXTRA_MS);
@@ -163,6 +178,29 @@
         Some(Duration::from_secs_f64(ms / 1e3))
     }
 
+    /// Returns the time in milliseconds after which an attempt is hedged, where upstreams report
+    /// the pace of their machines and enough was observed.
+    ///
+    /// On shared machines the times of a kind are spread so widely that a few deviations above
+    /// the mean lie beyond the moment at which a hedged attempt still helps. The attempt is
+    /// therefore hedged as late as most hedged attempts can still be answered within the
+    /// objective, but not so early that more attempts are late than the retry budget pays for.
+    fn hedge_after_by_distribution(&self, stats: &KindStats, demand: Demand) -> Option<f64> {
+        if !self.paced || !self.policy.quantiles {
+            return None;
+        }
+        let objective = demand.objective.as_secs_f64() * 1e3;
+        let earliest = stats.totals.quantile(1.0 - self.hedge_share)?;
+        let most = stats.totals.quantile(MOST_HEDGED)?;
+        let latest = earliest.max(LATE_MAX_MEANS * stats.total + LATE_MAX_EXTRA_MS);
+        Some((objective - most).clamp(earliest, latest))
+    }
+
+    /// Sets the share of the calls that may be hedged, which the retry budget pays for.
+    pub fn set_hedge_share(&mut self, share: f64) {
+        self.hedge_share = share.clamp(0.0, 1.0);
+    }
+
     /// Returns whether an upstream probably has a free slot, by the calls and load reports
     /// seen here.
     pub fn has_room(&self, key: UpstreamKey, now: Instant) -> bool {
@@ -197,7 +235,7 @@
 
     /// Returns whether an upstream of the service has reported the pace of its machine.
     pub fn reports_pace(&self) -> bool {
-        self.arena.iter().any(|upstream| upstream.present && upstream.machine.is_some())
+        self.paced
     }
 
     /// Returns whether a hedged attempt may be sent to an upstream.
--- a/crates/core/src/request/choose/policy.rs
+++ b/crates/core/src/request/choose/policy.rs
@@ -26,6 +26,9 @@
     pub subset: bool,
     /// Include the share of calls that an upstream refuses, by its load reports, in the cost.
     pub refusals: bool,
+    /// Time hedged attempts by the distribution of a kind's times, where upstreams report the
+    /// pace of their machines.
+    pub quantiles: bool,
 }
 
 impl Policy {
@@ -40,6 +43,7 @@
         back_off: true,
         subset: true,
         refusals: true,
+        quantiles: true,
     };
 }
 
--- a/crates/core/tests/uneven_world/mod.rs
+++ b/crates/core/tests/uneven_world/mod.rs
@@ -13,6 +13,7 @@
 use cicadashift_core::request::gate::{
     Admission, Arrival, CallerKey, End, Gate, KindKey, Refusal, Ticket, Wake,
 };
+use cicadashift_core::request::machine::MachinePace;
 use cicadashift_core::request::retry::{Allowance, RetryBudget};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -44,6 +45,13 @@
     pub length: Duration,
     /// Share of the calls that may run only once.
     pub unrepeatable: f64,
+    /// Whether the gates take the pace of their machines into account.
+    pub at_gates: bool,
+    /// Whether calls may be redirected, once each.
+    pub redirects: bool,
+    /// Whether entry daemons receive the pace.
+    pub at_entries: bool,
+    pub policy: Policy,
 }
 
 /// One kind of calls.
@@ -74,9 +82,19 @@
     pub calls: u32,
     pub in_time: u32,
     pub hedges: u32,
+    pub redirected: u32,
 }
 
 impl Tally {
+    pub fn plus(self, other: Tally) -> Tally {
+        Tally {
+            calls: self.calls + other.calls,
+            in_time: self.in_time + other.in_time,
+            hedges: self.hedges + other.hedges,
+            redirected: self.redirected + other.redirected,
+        }
+    }
+
     pub fn share(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.calls.max(1))
     }
@@ -92,12 +110,7 @@
 
 impl Ran {
     pub fn all(&self) -> Tally {
-        let [a, b] = self.kinds;
-        Tally {
-            calls: a.calls + b.calls,
-            in_time: a.in_time + b.in_time,
-            hedges: a.hedges + b.hedges,
-        }
+        self.kinds[0].plus(self.kinds[1])
     }
 }
 
@@ -124,6 +137,7 @@
     key: UpstreamKey,
     stage: Stage,
     may_wait: bool,
+    may_redirect: bool,
     /// What the entry daemon hears.
     outcome: Option<Outcome>,
     /// Whether the entry daemon has recorded the end.
@@ -139,13 +153,14 @@
     tried: Vec<UpstreamKey>,
     full: Vec<UpstreamKey>,
     full_refusals: u32,
+    was_redirected: bool,
     attempts: Vec<usize>,
 }
 
 struct Host {
     gate: Gate,
     speed: f64,
-    phase: Duration,
+    machine: Machine,
     tickets: HashMap<Ticket, usize>,
 }
 
@@ -183,15 +198,19 @@
     fn new(plan: Plan) -> World {
         let mut rng = fastrand::Rng::with_seed(plan.seed);
         let start = Instant::now();
-        let host = |rng: &mut fastrand::Rng| Host {
+        let hosts = (0..plan.hosts).map(|host| Host {
             gate: Gate::new(u32::from(SLOTS)),
             speed: 0.7 + rng.f64(),
-            phase: PERIOD.mul_f64(rng.f64()),
+            machine: Machine {
+                seed: plan.seed,
+                host: host as u64,
+                phase: PERIOD.mul_f64(rng.f64()),
+            },
             tickets: HashMap::new(),
-        };
-        let hosts = (0..plan.hosts).map(|_| host(&mut rng)).collect();
+        });
+        let hosts = hosts.collect();
         let entry = |n: usize| {
-            let mut picker = Picker::new(Policy::ALL, HostKey(1000 + n as u64));
+            let mut picker = Picker::new(plan.policy, HostKey(1000 + n as u64));
             let known = (0..plan.hosts).map(|n| UpstreamInfo {
                 host: HostKey(n as u64),
                 instance: format!("u{n}"),
@@ -253,6 +272,7 @@
             tried: Vec::new(),
             full: Vec::new(),
             full_refusals: 0,
+            was_redirected: false,
             attempts: Vec::new(),
         });
         self.send_next(self.calls.len() - 1);
@@ -290,22 +310,27 @@
         let has_room = picker.has_room(chosen.key, now);
         let no_wait = has_room && state.full_refusals < MAX_FULL_REFUSALS;
         let hedge_after = picker.hedge_after(demand);
+        let may_hedge = !picker.reports_pace() || no_wait;
+        let has_faster = picker.has_faster(chosen.key, demand, now, &state.tried);
         state.tried.push(chosen.key);
-        let attempt = self.send(call, chosen.key, !no_wait);
+        let may_redirect = self.plan.redirects && has_faster && !state.was_redirected;
+        let attempt = self.send(call, chosen.key, !no_wait, may_redirect);
         self.decided(u64::from(chosen.key.0));
         self.decided(hedge_after.map_or(0, |after| after.as_micros() as u64));
-        if let Some(after) = hedge_after.filter(|_| self.calls[call].kind != UNREPEATABLE) {
+        let may_hedge = may_hedge && self.calls[call].kind != UNREPEATABLE;
+        if let Some(after) = hedge_after.filter(|_| may_hedge) {
             self.schedule(after, Event::HedgeDue(attempt));
         }
     }
 
-    fn send(&mut self, call: usize, key: UpstreamKey, may_wait: bool) -> usize {
+    fn send(&mut self, call: usize, key: UpstreamKey, may_wait: bool, may_redirect: bool) -> usize {
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             call,
             key,
             stage: Stage::Sent,
             may_wait,
+            may_redirect,
             outcome: None,
             closed: false,
             sent: self.now,
@@ -317,7 +342,7 @@
     }
 
     fn at_exit(&mut self, attempt: usize) {
-        let Attempt { call, key, may_wait, stage, .. } = self.attempts[attempt];
+        let Attempt { call, key, may_wait, may_redirect, stage, .. } = self.attempts[attempt];
         if stage == Stage::Ended {
             return;
         }
@@ -332,7 +357,10 @@
         };
         let (now, random) = (self.now, self.rng.u64(..));
         let host = &mut self.hosts[key.0 as usize];
-        match host.gate.admit(arrival, now, random) {
+        let redirect = host.gate.redirect(&arrival, now).filter(|_| may_redirect);
+        let admission =
+            redirect.map_or_else(|| host.gate.admit(arrival, now, random), Admission::Refuse);
+        match admission {
             Admission::Run(ticket) => {
                 host.tickets.insert(ticket, attempt);
                 self.start_run(attempt, ticket);
@@ -353,6 +381,7 @@
             attempt,
             match refusal {
                 Refusal::Full { .. } => Outcome::Full { report },
+                Refusal::SlowHost { .. } => Outcome::SlowHost { report },
                 _ => Outcome::Refused { retry_after, report },
             },
         );
@@ -363,7 +392,11 @@
         LoadReport {
             load: Some((gate.running() + gate.queued()) as u16),
             accept_ratio: Some(gate.acceptance_rate(self.now)),
-            ..LoadReport::default()
+            next_token: None,
+            pace: gate
+                .machine()
+                .and_then(|machine| machine.report(self.now))
+                .filter(|_| self.plan.at_entries),
         }
     }
 
@@ -375,9 +408,7 @@
 
     /// Returns how slow a machine is now.
     fn slowness(&self, host: usize) -> f64 {
-        let since = (self.now - self.start) + self.hosts[host].phase;
-        let period = since.as_micros() / PERIOD.as_micros();
-        slowness_in(self.plan.seed, host as u64, period as u64)
+        self.hosts[host].machine.slowness(self.now - self.start)
     }
 
     fn start_run(&mut self, attempt: usize, ticket: Ticket) {
@@ -395,6 +426,11 @@
         let Stage::Running(ticket, since) = self.attempts[attempt].stage else { return };
         let key = self.attempts[attempt].key;
         let service = self.now - since;
+        if self.plan.at_gates {
+            let per_cent = (self.slowness(key.0 as usize) * 100.0) as u16;
+            let pace = MachinePace::new(per_cent, self.now);
+            self.hosts[key.0 as usize].gate.observe_machine(pace);
+        }
         self.leave_gate(key, ticket, End::Answered(service));
         let report = self.report(key);
         self.answer(attempt, Outcome::Answered { service, total: Duration::ZERO, report });
@@ -444,6 +480,13 @@
                 }
                 self.send_again(call);
             }
+            Outcome::SlowHost { .. } => {
+                let state = &mut self.calls[call];
+                state.full.push(key);
+                state.was_redirected = true;
+                self.ran.kinds[state.kind].redirected += 1;
+                self.send_again(call);
+            }
             _ => self.send_again(call),
         }
     }
@@ -509,7 +552,7 @@
         }
         state.tried.push(choice.key);
         self.ran.kinds[state.kind].hedges += 1;
-        self.send(call, choice.key, true);
+        self.send(call, choice.key, true, false);
     }
 }
 
@@ -519,8 +562,21 @@
     call.tried.retain(|tried| !full.contains(tried));
 }
 
-/// Returns how slow a machine is in one of its periods; the same for the same seed.
-fn slowness_in(seed: u64, host: u64, period: u64) -> f64 {
-    let mut rng = fastrand::Rng::with_seed(seed ^ (host << 32) ^ period.wrapping_mul(0x9e37));
-    if rng.f64() < SLOW_SHARE { SLOW_FACTOR } else { 1.0 }
+/// A machine whose slowness depends only on the seed and the time.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    pub seed: u64,
+    pub host: u64,
+    /// Time from the begin of its first period to the begin of the run.
+    pub phase: Duration,
+}
+
+impl Machine {
+    /// Returns how slow it is at a time after the begin of the run.
+    pub fn slowness(&self, at: Duration) -> f64 {
+        let period = ((at + self.phase).as_micros() / PERIOD.as_micros()) as u64;
+        let mut rng =
+            fastrand::Rng::with_seed(self.seed ^ (self.host << 32) ^ period.wrapping_mul(0x9e37));
+        if rng.f64() < SLOW_SHARE { SLOW_FACTOR } else { 1.0 }
+    }
 }
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -94,6 +94,9 @@
     draining: Mutex<bool>,
     /// The limit that answers name, as text.
     limit: Mutex<Option<String>>,
+    /// Pace of the machine in per cent, which the service time is multiplied by and answers
+    /// report; `None` reports no load.
+    pace: Mutex<Option<u16>>,
     /// Whether answers carry the leaving signal.
     leaving: Mutex<bool>,
     /// The requests that were addressed to this instance.
@@ -142,6 +145,7 @@
             version: Mutex::new("v1".to_string()),
             draining: Mutex::new(false),
             limit: Mutex::default(),
+            pace: Mutex::default(),
             leaving: Mutex::default(),
             arrivals: Mutex::default(),
             sends_heartbeats: Mutex::new(true),
@@ -194,6 +198,12 @@
         *lock(&self.shared.service_time) = service_time;
     }
 
+    /// Changes the pace of the machine, in per cent: requests take as much longer, and answers
+    /// report it. `None` reports no load.
+    pub fn set_pace(&self, per_cent: Option<u16>) {
+        *lock(&self.shared.pace) = per_cent;
+    }
+
     /// Changes the reported number of slots.
     pub fn set_slots(&self, slots: u16) {
         *lock(&self.shared.slots) = slots;
@@ -380,6 +390,11 @@
     if let Some(limit) = limit {
         set(&mut res, "server-limit", &limit);
     }
+    let pace = *lock(&shared.pace);
+    if let Some(per_cent) = pace {
+        let slots = *lock(&shared.slots);
+        set(&mut res, "x-server-load", &format!("0,0,{slots},{per_cent}"));
+    }
     if *lock(&shared.leaving) {
         set(&mut res, "server-leaving", "1");
     }
@@ -416,7 +431,8 @@
     });
     let body = body::read(incoming, MAX_BODY_BYTES).await.unwrap_or_default();
     shared.ledger.record_run(&id);
-    let service_time = *lock(&shared.service_time);
+    let pace = *lock(&shared.pace);
+    let service_time = *lock(&shared.service_time) * u32::from(pace.unwrap_or(100)) / 100;
     if head.uri.path().contains(FATAL_PATH) {
         let path = head.uri.path().to_string();
         lock(&shared.fatal_runs).push(FatalRun { path, id, at: Instant::now() });
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -6,7 +6,9 @@
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use cicadashift_core::config::Priority;
 use cicadashift_core::ids::{CallDigest, Version};
+use cicadashift_core::request::machine::PaceReport;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Header between daemons that carries a [`Context`].
 pub const CONTEXT: &str = "cicadashift-call";
@@ -45,6 +47,14 @@
 /// On answers between daemons: of a thousand calls sent to the upstream, how many it
 /// accepts.
 pub const ACCEPT_RATIO: &str = "cicadashift-accepts";
+/// On answers between daemons: pace of the upstream's machine in per cent, and the age of the
+/// upstream's report in milliseconds, separated by a comma.
+pub const PACE: &str = "cicadashift-pace";
+/// On calls between daemons: the exit daemon refuses the call if the upstream's machine is
+/// slow at the moment, since another upstream can take it.
+pub const MAY_REDIRECT: &str = "cicadashift-may-redirect";
+/// Value of [`REASON`]: the upstream's machine is slow at the moment.
+pub const SLOW_HOST: &str = "slow-host";
 /// On an upstream's answer: calls per second that it accepts from all hosts together.
 pub const LIMIT: &str = "cicadashift-limit";
 /// On an upstream's answer: it takes no new calls.
@@ -71,6 +81,18 @@
 /// Longest encoded context in bytes.
 const MAX_CONTEXT: usize = 1024;
 
+/// Encodes a pace as the value of [`PACE`].
+pub fn pace_to_header(pace: PaceReport) -> String {
+    format!("{},{}", pace.per_cent, pace.age.as_millis())
+}
+
+/// Decodes the value of [`PACE`]; `None` if it is malformed.
+pub fn pace_from_header(value: &str) -> Option<PaceReport> {
+    let (per_cent, age_ms) = value.split_once(',')?;
+    let age = Duration::from_millis(age_ms.parse().ok()?);
+    Some(PaceReport { per_cent: per_cent.parse().ok()?, age })
+}
+
 /// The properties of a call that the exit daemon needs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Context {
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -9,6 +9,7 @@
 use cicadashift_core::request::gate::{
     Admission, Arrival, End, Gate, KindKey, Refusal, Ticket, Wake,
 };
+use cicadashift_core::request::machine::{MachinePace, PaceReport};
 use cicadashift_edge::interface::Announcement;
 use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
@@ -76,6 +77,8 @@
     pub limit: usize,
     /// Mean service time at the upstream.
     pub mean: Duration,
+    /// Last reported pace of the upstream's machine.
+    pub machine: Option<MachinePace>,
 }
 
 impl LocalUpstream {
@@ -129,17 +132,24 @@
 
     /// Admits a call, which waits in the queue if necessary.
     ///
+    /// `may_redirect` says that the call is refused where the upstream's machine is slow at
+    /// the moment, since another upstream can take it.
+    ///
     /// # Errors
     ///
     /// Returns the reason for which the call did not run.
     pub async fn admit(
         self: &Arc<Self>,
         arrival: Arrival,
+        may_redirect: bool,
         clock: &Arc<dyn Clock>,
     ) -> Result<SlotPermit, Refusal> {
         let now = clock.now();
         let (ticket, rx) = {
             let mut state = lock(&self.state);
+            if may_redirect && let Some(refusal) = state.gate.redirect(&arrival, now) {
+                return Err(refusal);
+            }
             match state.gate.admit(arrival, now, fastrand::u64(..)) {
                 Admission::Run(ticket) => return Ok(SlotPermit::new(self, ticket)),
                 Admission::Refuse(refusal) => return Err(refusal),
@@ -171,6 +181,16 @@
         Some(change)
     }
 
+    /// Records the pace of the upstream's machine.
+    pub fn observe_machine(&self, pace: MachinePace) {
+        lock(&self.state).gate.observe_machine(pace);
+    }
+
+    /// Returns the pace of the upstream's machine, if its last report still says something.
+    pub fn machine_report(&self, now: Instant) -> Option<PaceReport> {
+        lock(&self.state).gate.machine()?.report(now)
+    }
+
     /// Applies a limit that another daemon observed, unless the upstream has already answered
     /// a call through this daemon.
     pub fn adopt_limit(&self, limit: NamedLimit, now: Instant) {
@@ -265,6 +285,7 @@
             queued: state.gate.queued(),
             limit: state.gate.limit(),
             mean: state.gate.mean_service_time(),
+            machine: state.gate.machine(),
         }
     }
 
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -65,7 +65,6 @@
         return None;
     }
     let instance = headers::text(res.headers(), d.dialect.instance.as_ref()?.as_str())?;
-    let load = headers::text(res.headers(), d.dialect.load.as_ref()?.as_str())?;
     let signals = Signals::of(d, res.headers());
     let announced = Announcement {
         instance: instance.to_string(),
@@ -74,7 +73,7 @@
         // Only the upstream's own reports name it.
         version: String::new(),
         address,
-        slots: slots(load)?,
+        slots: signals.load()?.slots,
         readiness: Readiness::Ready,
         // The lowest number, so that every report of the upstream itself is newer.
         sequence: 0,
@@ -82,9 +81,3 @@
     };
     Some((announced, signals))
 }
-
-/// Parses the number of slots from a load report: running calls, waiting calls, slots and, for
-/// some upstreams, the present duration of a call.
-fn slots(load: &str) -> Option<u16> {
-    load.split(',').nth(2)?.trim().parse().ok().filter(|slots| *slots > 0)
-}
--- a/src/daemon/in_band.rs
+++ b/src/daemon/in_band.rs
@@ -1,8 +1,8 @@
-//! In-band signals: limits and leaving that upstreams name in their answers.
+//! In-band signals: limits, leaving and load that upstreams name in their answers.
 //!
 //! The exit daemon decodes the signals ([`Signals`]) and applies them ([`apply`]): a limit
-//! paces the upstream's gate, and an upstream that is leaving is drained as if it had
-//! reported so. The exit daemon also adds the signals to each answer that it returns, and
+//! paces the upstream's gate, an upstream that is leaving is drained as if it had
+//! reported so, and the gate takes the pace of the upstream's machine into account. The exit daemon also adds the signals to each answer that it returns, and
 //! entry daemons remember them ([`RememberedSignals`]), since the exit daemon loses them when
 //! it restarts. docs/DESIGN.md, "What an upstream says in its answers", has the reasons.
 
@@ -11,6 +11,7 @@
 use super::{Daemon, lock};
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::request::gate::pace::{LimitChange, NamedLimit};
+use cicadashift_core::request::machine::{MachinePace, UpstreamLoad};
 use cicadashift_http::hyper::header::HeaderMap;
 use cicadashift_wire::call;
 use std::collections::HashMap;
@@ -28,6 +29,14 @@
 pub struct Signals {
     limit: LimitSignal,
     is_leaving: bool,
+    load: LoadSignal,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum LoadSignal {
+    None,
+    Reported(UpstreamLoad),
+    Unreadable,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,7 +58,23 @@
             None => LimitSignal::Unreadable,
         };
         let is_leaving = head.get(&d.dialect.leaving).is_some_and(|value| value == "1");
-        Signals { limit, is_leaving }
+        let load = match d.dialect.load.as_ref().and_then(|name| head.get(name)) {
+            None => LoadSignal::None,
+            Some(value) => value
+                .to_str()
+                .ok()
+                .and_then(UpstreamLoad::parse)
+                .map_or(LoadSignal::Unreadable, LoadSignal::Reported),
+        };
+        Signals { limit, is_leaving, load }
+    }
+
+    /// Returns the load report, if there is one that can be read.
+    pub fn load(&self) -> Option<UpstreamLoad> {
+        match self.load {
+            LoadSignal::Reported(load) => Some(load),
+            LoadSignal::None | LoadSignal::Unreadable => None,
+        }
     }
 }
 
@@ -61,6 +86,7 @@
         log::info!("upstream {} leaves, as its answers say", local.instance);
         d.gates.drain(d, local);
     }
+    apply_load(d, local, signals.load);
     let limit = match signals.limit {
         LimitSignal::None => None,
         LimitSignal::Named(limit) => Some(limit),
@@ -82,6 +108,22 @@
     }
 }
 
+fn apply_load(d: &Daemon, local: &LocalUpstream, load: LoadSignal) {
+    match load {
+        LoadSignal::Reported(load) => {
+            let pace = load.pace.filter(|_| d.settings.load.pace);
+            if let Some(per_cent) = pace {
+                local.observe_machine(MachinePace::new(per_cent, d.clock.now()));
+            }
+        }
+        LoadSignal::Unreadable => {
+            d.metrics.incr("upstream.load_unreadable");
+            log::debug!("upstream {} sends a load report that cannot be read", local.instance);
+        }
+        LoadSignal::None => {}
+    }
+}
+
 /// Signals of upstreams in the answers that this entry daemon received, by host and
 /// instance.
 #[derive(Default)]
--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -101,10 +101,11 @@
 /// Maps a reason header to one of the known reasons, so that no text from the network gets
 /// into logs or responses.
 fn known_reason(text: Option<&str>) -> &'static str {
-    const REASONS: [&str; 21] = [
+    const REASONS: [&str; 22] = [
         call::UPSTREAM_ENDED,
         call::QUARANTINED,
         call::DISPUTED,
+        call::SLOW_HOST,
         "held-back",
         "truncated",
         "over-limit",
--- a/src/daemon/request/attempts/hedge.rs
+++ b/src/daemon/request/attempts/hedge.rs
@@ -37,7 +37,11 @@
     let options = match payload.is_available() {
         true => history.send_options(target),
         // A call that cannot be sent again waits for a slot at this host.
-        false => SendOptions { max_slot_wait: Duration::MAX, ..history.send_options(target) },
+        false => SendOptions {
+            max_slot_wait: Duration::MAX,
+            may_redirect: false,
+            ..history.send_options(target)
+        },
     };
     let mut first = Box::pin(send(d, call, target, body, options));
     // A suspected call is not sent to two upstreams at once.
@@ -46,7 +50,9 @@
         && call.repeatable
         && payload.is_available()
         && history.arrivals + 1 < call.max_attempts;
-    let why = match race(first.as_mut(), hedge_due(d, call, target, may_hedge)).await {
+    let may_queue = !options.max_slot_wait.is_zero();
+    let due = hedge_due(d, call, target, may_hedge, may_queue);
+    let why = match race(first.as_mut(), due).await {
         Raced::First(got) => return got,
         Raced::Second(why) => why,
     };
@@ -108,12 +114,16 @@
     call: &RoutedCall,
     target: &Target,
     may_hedge: bool,
+    may_queue: bool,
 ) -> &'static str {
     let demand = call.demand(d.clock.now());
     let after = d.services.with(&call.service, |service| {
         // A hedged attempt at a large answer would load the link of a second host as well.
         let is_large = service.picker.is_large(demand.kind);
-        service.picker.hedge_after(demand).filter(|_| !is_large)
+        // Where hedged attempts come early, a call that is late may only wait for a slot, and a
+        // second one would wait as well.
+        let only_queues = may_queue && service.picker.reports_pace();
+        service.picker.hedge_after(demand).filter(|_| !is_large && !only_queues)
     });
     let slow = async {
         match after.flatten().filter(|_| may_hedge) {
--- a/src/daemon/request/attempts/history.rs
+++ b/src/daemon/request/attempts/history.rs
@@ -34,6 +34,9 @@
     pub full: Vec<UpstreamKey>,
     /// Refusals by hosts that had no free slot; `MAX_FULL_REFUSALS` once the call may wait.
     pub full_refusals: u32,
+    /// Whether a host sent the call elsewhere since its machine was slow at the moment. It
+    /// happens once to a call, so that it does not move between slow hosts.
+    pub was_redirected: bool,
     /// Attempts that reached an upstream or may have.
     pub arrivals: u32,
     /// Reason of the last refusal, and the shortest `Retry-After` of all refusals.
@@ -68,6 +71,7 @@
                 Duration::MAX
             },
             max_slot_wait: if no_wait { Duration::ZERO } else { Duration::MAX },
+            may_redirect: target.has_faster && !self.was_redirected && self.trial.is_none(),
             is_trial: self.trial.is_some(),
         }
     }
@@ -86,6 +90,13 @@
         }
     }
 
+    /// Records that a host sent the call elsewhere since its machine was slow at the moment.
+    /// Like an upstream without a free slot, it may be chosen again where no other is left.
+    pub fn record_redirect(&mut self, key: UpstreamKey) {
+        self.full.push(key);
+        self.was_redirected = true;
+    }
+
     /// Allows upstreams that had no free slot to be chosen again, so that the call waits for
     /// a slot there; returns whether there are any.
     pub fn retry_full(&mut self) -> bool {
--- a/src/daemon/request/attempts/mod.rs
+++ b/src/daemon/request/attempts/mod.rs
@@ -82,6 +82,11 @@
             history.record_full(target.choice.key);
             continue;
         }
+        if reason == call::SLOW_HOST {
+            d.metrics.incr("call.redirected_slow");
+            history.record_redirect(target.choice.key);
+            continue;
+        }
         if reason == LINK_BUSY {
             history.tried.retain(|key| *key != target.choice.key);
             history.link_refusals += 1;
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -87,7 +87,8 @@
         kind,
         max_wait: Duration::from_millis(u64::from(cx.max_slot_wait_ms)),
     };
-    let permit = match local.admit(arrival, &d.clock).await {
+    let may_redirect = req.headers().contains_key(call::MAY_REDIRECT);
+    let permit = match local.admit(arrival, may_redirect, &d.clock).await {
         Ok(permit) => permit,
         Err(refusal) => return refuse(&d, &cx, refusal, arrived, Some(&local)),
     };
@@ -306,6 +307,9 @@
     let now = d.clock.now();
     let accepted_per_thousand = local.acceptance_rate(now) * 1e3;
     headers::set(head, call::ACCEPT_RATIO, &(accepted_per_thousand.round() as u64).to_string());
+    if let Some(pace) = local.machine_report(now) {
+        headers::set(head, call::PACE, &call::pace_to_header(pace));
+    }
     if let Some((limit, next_token)) = local.schedule_retry(now) {
         headers::set(head, call::LIMIT_THOUSANDTHS, &limit.thousandths().to_string());
         headers::set(head, call::NEXT_TOKEN_MS, &next_token.as_millis().to_string());
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -39,6 +39,8 @@
     pub max_link_backlog: Duration,
     /// Longest wait for a slot of the upstream.
     pub max_slot_wait: Duration,
+    /// Whether the exit daemon refuses the call if the upstream's machine is slow at the moment.
+    pub may_redirect: bool,
     /// Whether this attempt is the one trial of a quarantined call that is in doubt.
     pub is_trial: bool,
 }
@@ -48,6 +50,7 @@
     pub const UNLIMITED: SendOptions = SendOptions {
         max_link_backlog: Duration::MAX,
         max_slot_wait: Duration::MAX,
+        may_redirect: false,
         is_trial: false,
     };
 }
@@ -72,7 +75,10 @@
     };
     lock(&d.liveness).call_sent(target.host, started);
     let cx = context(d, call, target, left, options, started);
-    let req = request(call, body);
+    let mut req = request(call, body);
+    if options.may_redirect {
+        headers::set(req.headers_mut(), call::MAY_REDIRECT, "1");
+    }
     let crosses_domains = target.locality == Locality::OtherDomain;
     d.costs.add(Purpose::Call, crosses_domains, HEAD_BYTES + stated_length(req.body()));
     let sent = match target.host == d.me {
@@ -142,7 +148,7 @@
         target.locality == Locality::OtherDomain,
         HEAD_BYTES + stated_length(&body),
     );
-    let report = decode_report(&head.headers);
+    let report = decode_report(d, &head.headers);
     if d.in_band_signals.record(target.host, &target.instance, &head.headers, d.clock.now()) {
         d.services.sync(d);
     }
@@ -162,6 +168,7 @@
             Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
             Attempt::NotRun { .. } if reason == "link-busy" => Outcome::LinkBusy,
             Attempt::NotRun { .. } if reason == "held-back" => Outcome::HeldBack,
+            Attempt::NotRun { .. } if reason == call::SLOW_HOST => Outcome::SlowHost { report },
             Attempt::NotRun { .. } if reason == "full" => Outcome::Full { report },
             Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after, report },
             Attempt::Unknown | Attempt::Answered => Outcome::Failed,
@@ -200,12 +207,15 @@
 }
 
 /// Decodes the exit daemon's load report on its upstream.
-fn decode_report(head: &HeaderMap) -> LoadReport {
+fn decode_report(d: &Daemon, head: &HeaderMap) -> LoadReport {
     LoadReport {
         load: headers::number(head, call::LOAD).map(|load| load as u16),
         accept_ratio: headers::number(head, call::ACCEPT_RATIO)
             .map(|accepted| accepted.min(1000) as f64 / 1e3),
         next_token: headers::number(head, call::NEXT_TOKEN_MS).map(Duration::from_millis),
+        pace: headers::text(head, call::PACE)
+            .filter(|_| d.settings.load.pace)
+            .and_then(call::pace_from_header),
     }
 }
 
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -20,6 +20,9 @@
 /// Fraction of the slack that is used. Lower than [`SAFE_SHARE`], since each daemon's bucket
 /// may go into debt for part of a retry, and all daemons may do so at the same time.
 const SLACK_SHARE: f64 = 0.25;
+/// Fraction of the earned retries that hedged attempts are timed for. The rest is for retries
+/// of calls that failed.
+const HEDGE_SHARE: f64 = 0.8;
 /// Fraction of a window for which earned retries are saved. Two services may use their saved
 /// retries in the same window, and calls that repeated runs of one service make count at the
 /// other.
@@ -35,12 +38,22 @@
 
 impl Service {
     /// Records the start of an attempt at the chosen upstream.
-    fn start_attempt(&mut self, choice: Choice, now: Instant) -> Target {
+    ///
+    /// `tried` are the upstreams of earlier attempts of the call.
+    fn start_attempt(
+        &mut self,
+        choice: Choice,
+        demand: Demand,
+        now: Instant,
+        tried: &[UpstreamKey],
+    ) -> Target {
         let has_room = self.picker.has_room(choice.key, now);
+        let has_faster = self.picker.has_faster(choice.key, demand, now, tried);
         self.picker.started(choice.key);
         let info = self.picker.info(choice.key);
         let (host, locality, instance) = (info.host, info.locality, info.instance.clone());
-        Target { choice, host, locality, instance, has_room, available: self.picker.len() }
+        let available = self.picker.len();
+        Target { choice, host, locality, instance, has_room, has_faster, available }
     }
 }
 
@@ -73,6 +86,8 @@
     pub instance: String,
     /// Whether the upstream had a free slot, as far as this daemon knows.
     pub has_room: bool,
+    /// Whether another upstream probably has a free slot on a machine that is not slow.
+    pub has_faster: bool,
     /// Number of upstreams of the service that accept calls.
     pub available: usize,
 }
@@ -118,7 +133,10 @@
     /// Credits the service's retry budget for the first attempt of a call.
     pub fn earn_retries(&self, d: &Daemon, name: &str) {
         let (allowance, now) = (allowance(d), d.clock.now());
-        self.with(name, |service| service.budget.earn(allowance, now));
+        self.with(name, |service| {
+            service.budget.earn(allowance, now);
+            service.picker.set_hedge_share(allowance.earned_per_attempt * HEDGE_SHARE);
+        });
     }
 
     /// Chooses an upstream and records the start of the attempt; `tried` lists the upstreams
@@ -136,7 +154,7 @@
     ) -> Result<Target, Duration> {
         let chosen = self.with(name, |service| {
             let choice = service.picker.choose(demand, now, fastrand::u64(..), tried)?;
-            Ok(service.start_attempt(choice, now))
+            Ok(service.start_attempt(choice, demand, now, tried))
         });
         chosen.unwrap_or(Err(UNANNOUNCED_WAIT))
     }
@@ -154,7 +172,7 @@
             let choice = service.picker.choose(demand, now, fastrand::u64(..), tried).ok()?;
             let is_allowed = service.picker.may_hedge(choice.key, now)
                 && service.budget.spend(fastrand::u64(..));
-            is_allowed.then(|| service.start_attempt(choice, now))
+            is_allowed.then(|| service.start_attempt(choice, demand, now, tried))
         });
         chosen.flatten()
     }
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -17,6 +17,7 @@
 pub fn own(d: &Daemon) -> Value {
     let own = d.members.own();
     let versions = d.versions.summary();
+    let now = d.clock.now();
     let upstreams: Vec<Value> = d
         .gates
         .all()
@@ -31,6 +32,7 @@
                 "running": load.running,
                 "queued": load.queued,
                 "mean_ms": load.mean.as_secs_f64() * 1e3,
+                "pace": load.machine.and_then(|m| m.report(now)).map(|report| report.per_cent),
             })
         })
         .collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,11 +126,13 @@
     pub overlap: bool,
     /// Measure the waiting time of a returning caller from its first, refused call.
     pub returning: bool,
+    /// Take into account how slow the machines of upstreams are at the moment.
+    pub pace: bool,
 }
 
 impl Default for LoadPolicy {
     fn default() -> LoadPolicy {
-        LoadPolicy { overlap: true, returning: true }
+        LoadPolicy { overlap: true, returning: true, pace: true }
     }
 }
 
