--- a/crates/core/src/request/choose/observe.rs
+++ b/crates/core/src/request/choose/observe.rs
@@ -44,9 +44,12 @@
         elapsed: Duration,
         now: Instant,
     ) {
-        let Some(stats) = self.kinds.get(&demand.kind) else { return };
+        let Some(stats) = self.kinds.get_mut(&demand.kind) else { return };
+        stats.totals.add(elapsed.as_secs_f64() * 1e3);
         let relative = elapsed.as_secs_f64() * 1e3 / stats.total.max(0.1);
         let upstream = self.at_mut(key);
+        // What the machine's momentary pace explains says nothing about the upstream.
+        let relative = relative / upstream.machine_factor(now).max(1.0);
         upstream.observe_relative_time(relative.max(1.0), now);
         upstream.record_error(now);
     }
@@ -78,13 +81,16 @@
     pub fn ended(&mut self, key: UpstreamKey, demand: Demand, outcome: Outcome, now: Instant) {
         let policy = self.policy;
         let relative = match outcome {
-            Outcome::Answered { service, total, .. } => {
-                Some(self.observe(demand.kind, service, total))
+            Outcome::Answered { service, total, report } => {
+                let machine = report.pace.map(|pace| pace.received(now).factor(now));
+                let usual = machine.map_or(service, |factor| service.div_f64(factor));
+                Some(self.observe(demand.kind, usual, total))
             }
             _ => None,
         };
         self.observe_error(outcome);
         self.observe_shortage(outcome);
+        self.paced |= outcome.report().is_some_and(|report| report.pace.is_some());
         let upstream = self.at_mut(key);
         upstream.outstanding = upstream.outstanding.saturating_sub(1);
         match outcome {
@@ -92,7 +98,7 @@
                 upstream.record_answer(relative.unwrap_or(1.0), report.load, now);
                 upstream.apply_report(report, now);
             }
-            Outcome::Full { report } => {
+            Outcome::Full { report } | Outcome::SlowHost { report } => {
                 upstream.failures = 0;
                 upstream.apply_report(report, now);
             }
@@ -132,9 +138,7 @@
                 relative
             }
             None if has_room => {
-                let deviation = total / 2.0;
-                let large = false;
-                self.kinds.insert(kind, KindStats { service, total, deviation, large });
+                self.kinds.insert(kind, KindStats::new(service, total));
                 1.0
             }
             None => 1.0,
@@ -147,6 +151,7 @@
             Outcome::ErrorAnswer | Outcome::Failed => 1.0,
             Outcome::Refused { .. }
             | Outcome::Full { .. }
+            | Outcome::SlowHost { .. }
             | Outcome::LinkBusy
             | Outcome::HeldBack
             | Outcome::Unreached
@@ -160,6 +165,7 @@
             Outcome::Full { .. } | Outcome::Refused { .. } => 1.0,
             Outcome::Answered { .. } => 0.0,
             Outcome::ErrorAnswer
+            | Outcome::SlowHost { .. }
             | Outcome::LinkBusy
             | Outcome::HeldBack
             | Outcome::Unreached
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -128,11 +128,13 @@
     pub returning: bool,
     /// Refuse calls at the entry while hosts refuse most calls of their kind.
     pub throttle: bool,
+    /// Take into account how slow the machines of upstreams are at the moment.
+    pub pace: bool,
 }
 
 impl Default for LoadPolicy {
     fn default() -> LoadPolicy {
-        LoadPolicy { overlap: true, returning: true, throttle: true }
+        LoadPolicy { overlap: true, returning: true, throttle: true, pace: true }
     }
 }
 
