--- a/crates/core/src/request/gate/refusal.rs
+++ b/crates/core/src/request/gate/refusal.rs
@@ -29,6 +29,8 @@
     Disputed { retry_after: Duration },
     /// Upstreams of another version are to serve the call.
     HeldBack { retry_after: Duration },
+    /// The nested calls of such calls are refused by the service that they call.
+    Dependency { retry_after: Duration },
 }
 
 impl Refusal {
@@ -42,7 +44,8 @@
             | Refusal::LinkBusy { retry_after }
             | Refusal::Quarantined { retry_after }
             | Refusal::Disputed { retry_after }
-            | Refusal::HeldBack { retry_after } => *retry_after,
+            | Refusal::HeldBack { retry_after }
+            | Refusal::Dependency { retry_after } => *retry_after,
             Refusal::TooLate | Refusal::Draining | Refusal::Gone => MIN_RETRY_AFTER,
         }
     }
@@ -62,6 +65,7 @@
             Refusal::Quarantined { .. } => "quarantined",
             Refusal::Disputed { .. } => "disputed",
             Refusal::HeldBack { .. } => "held-back",
+            Refusal::Dependency { .. } => "dependency",
         })
     }
 }
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -13,6 +13,7 @@
 //! sent again.
 
 pub mod choose;
+pub mod dependency;
 pub mod gate;
 pub mod link;
 pub mod retry;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -64,6 +64,14 @@
 /// On answers between daemons: milliseconds that another large answer of the usual size
 /// would take to be sent over the link of the exit daemon's host.
 pub const LINK_MS: &str = "cicadashift-link-ms";
+/// On answers between daemons: the kind of call is taken for nested calls of the service at
+/// whose host it entered.
+pub const NESTED: &str = "cicadashift-nested";
+/// On answers between daemons: of a thousand calls of this kind, how many the host admits for
+/// the sake of their nested calls; absent where it admits all.
+pub const LEVEL: &str = "cicadashift-level";
+/// On calls between daemons: the entry daemon admitted the call by the levels that it knows.
+pub const ADMITTED: &str = "cicadashift-admitted";
 /// Prefix of all headers of this product. Headers with this prefix that come from outside
 /// the mesh and are not meant for callers are removed.
 pub const PREFIX: &str = "cicadashift-";
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -15,6 +15,7 @@
 use smol::channel::{Receiver, Sender};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -46,6 +47,8 @@
     pub address: SocketAddr,
     /// Check whether the upstream ended, done when calls to it break.
     pub end_check: EndCheck,
+    /// Whether the last load report of the upstream had its pace.
+    reports_pace: AtomicBool,
     state: Mutex<LocalState>,
 }
 
@@ -104,7 +107,25 @@
         };
         let pool = Pool::new(connections);
         let state = Mutex::new(state);
-        LocalUpstream { name, instance, pool, address, end_check: EndCheck::default(), state }
+        LocalUpstream {
+            name,
+            instance,
+            pool,
+            address,
+            end_check: EndCheck::default(),
+            reports_pace: AtomicBool::new(false),
+            state,
+        }
+    }
+
+    /// Records whether a load report of the upstream has its pace.
+    pub fn observe_load_report(&self, has_pace: bool) {
+        self.reports_pace.store(has_pace, Ordering::Relaxed);
+    }
+
+    /// Returns whether the last load report of the upstream had its pace.
+    pub fn reports_pace(&self) -> bool {
+        self.reports_pace.load(Ordering::Relaxed)
     }
 
     /// Returns the start time of this incarnation, or zero if it is unknown.
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -231,6 +231,7 @@
     loop {
         smol::Timer::after(TICK_INTERVAL).await;
         d.gates.tick(&d);
+        d.dependencies.tick(&d);
         d.mesh_pool.sweep();
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,6 +17,7 @@
 pub mod catch_up;
 pub mod costs;
 pub mod datagrams;
+pub mod dependencies;
 pub mod discovery;
 pub mod document;
 pub mod garbage;
@@ -150,6 +151,8 @@
     pub services: services::Services,
     /// Admission control of the upstreams on this host.
     pub gates: gates::Gates,
+    /// Admission of calls together with the nested calls that their runs will make.
+    pub dependencies: dependencies::Dependencies,
     /// Shaping of the host's link, where the settings name its capacity.
     pub link: Option<Mutex<Link>>,
     /// The delivery record.
@@ -389,6 +392,7 @@
             rollouts: rollouts::Rollouts::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(),
+            dependencies: dependencies::Dependencies::default(),
             link: settings.link_mbps.map(|mbps| Mutex::new(Link::new(mbps))),
             delivery_record: record::DeliveryRecord::new(),
             reader: reader::State::default(),
--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -2,6 +2,7 @@
 
 use super::headers;
 use super::payload::{Payload, buffer};
+use crate::daemon::dependencies;
 use bytes::Bytes;
 use cicadashift_core::request::link::SMALL_BYTES;
 use cicadashift_core::request::retry::Attempt;
@@ -101,11 +102,12 @@
 /// Maps a reason header to one of the known reasons, so that no text from the network gets
 /// into logs or responses.
 fn known_reason(text: Option<&str>) -> &'static str {
-    const REASONS: [&str; 21] = [
+    const REASONS: [&str; 22] = [
         call::UPSTREAM_ENDED,
         call::QUARANTINED,
         call::DISPUTED,
         "held-back",
+        dependencies::DEPENDENCY,
         "truncated",
         "over-limit",
         "busy",
--- a/src/daemon/request/attempts/mod.rs
+++ b/src/daemon/request/attempts/mod.rs
@@ -12,8 +12,10 @@
 use super::refuse::{refuse, unknown};
 use super::trial::{self, QuarantineDecision};
 use super::work::RoutedCall;
+use crate::daemon::dependencies::DEPENDENCY;
 use crate::daemon::{Daemon, quarantine};
 use cicadashift_core::request::MIN_RETRY_AFTER;
+use cicadashift_core::request::dependency::EntryDecision;
 use cicadashift_core::request::retry::{Attempt, CallState, RetryDecision};
 use cicadashift_http::body::Body;
 use cicadashift_http::hyper::Response;
@@ -34,6 +36,14 @@
 
 /// Makes attempts until one gives an answer or the call is given up.
 pub async fn run(d: &Arc<Daemon>, mut call: RoutedCall, mut payload: Payload) -> Response<Body> {
+    match d.dependencies.admit_at_entry(d, &call) {
+        EntryDecision::Unknown => {}
+        EntryDecision::Admit => call.is_admitted = true,
+        EntryDecision::Refuse { retry_after } => {
+            d.metrics.incr("call.dependency_refused");
+            return refuse(d, &call, DEPENDENCY, retry_after);
+        }
+    }
     d.services.earn_retries(d, &call.service);
     let mut history = AttemptHistory::default();
     loop {
@@ -113,6 +123,19 @@
             d.metrics.incr("call.quarantined");
             return give_up(d, &call, history, reason, retry_after);
         }
+        if let (Attempt::NotRun { retry_after, .. }, DEPENDENCY) = (attempt, reason) {
+            // Asking further hosts until one admits the call would undo their levels.
+            log_failed_attempt(
+                d,
+                &call,
+                &target,
+                attempt,
+                reason,
+                RetryDecision::Refuse { retry_after },
+                now,
+            );
+            return give_up(d, &call, history, reason, retry_after);
+        }
         let decision = decide(d, &call, &payload, &history, attempt, may_have_run);
         log_failed_attempt(d, &call, &target, attempt, reason, decision, now);
         match decision {
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -98,7 +98,7 @@
     if incoming.size_hint().lower() > route.max_body {
         return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the route's limit\n");
     }
-    let kind = hash(&(&route.host, &route.prefix));
+    let kind = kind_of(&route).0;
     let caller_timeout = headers::number(&head.headers, d.dialect.deadline_ms.as_str());
     let caller_timeout = caller_timeout.map(Duration::from_millis);
     let caller_deadline = caller_timeout.map(|caller_timeout| started + caller_timeout);
@@ -170,11 +170,13 @@
         started,
         deadline,
         objective,
+        is_admitted: false,
         max_attempts,
         head,
         turn,
     };
     let res = attempts::run(d, call, payload).await;
+    d.dependencies.record_entered(d, KindKey(kind), &res);
     if let Some(account) = organisation.filter(|_| headers::is_not_run(res.headers())) {
         d.limits.give_back(account.limit);
     }
@@ -327,6 +329,11 @@
     table.route(key).cloned()
 }
 
+/// Returns the kind of the calls that match a route.
+pub fn kind_of(route: &Route) -> KindKey {
+    KindKey(hash(&(&route.host, &route.prefix)))
+}
+
 fn request_id(d: &Daemon, head: &Parts) -> String {
     headers::text(&head.headers, d.dialect.request_id.as_str())
         .filter(|id| (1..=128).contains(&id.len()))
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -6,10 +6,11 @@
 use super::paced::ExpectedAnswer;
 use super::payload::{Payload, buffer};
 use super::tracked::{InFlightGuard, TrackedBody};
+use crate::daemon::dependencies::ExitCall;
 use crate::daemon::gates::ended;
 use crate::daemon::gates::local::{LocalUpstream, SlotPermit};
 use crate::daemon::in_band::{self, Signals};
-use crate::daemon::{Daemon, lock, quarantine};
+use crate::daemon::{Daemon, dependencies, lock, quarantine};
 use cicadashift_core::request::gate::pace::NamedLimit;
 use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
 use cicadashift_core::request::jitter;
@@ -54,6 +55,17 @@
     req: Request<Body>,
     origin: Origin,
 ) -> Response<Body> {
+    let is_nested = d.dependencies.record_arrival(&d, &cx);
+    let run = ExitCall { kind: KindKey(cx.call_kind), priority: cx.priority, is_nested };
+    let local = d.gates.get(&cx.instance);
+    let mut res = serve(d.clone(), cx, req, origin).await;
+    if let Some(local) = local {
+        d.dependencies.record_run(&d, &local, run, &mut res);
+    }
+    res
+}
+
+async fn serve(d: Arc<Daemon>, cx: Context, req: Request<Body>, origin: Origin) -> Response<Body> {
     let _in_flight = InFlightGuard::new(&d);
     let arrived = d.clock.now();
     let deadline = arrived + Duration::from_millis(u64::from(cx.deadline_ms));
@@ -67,6 +79,9 @@
         local.adopt_limit(NamedLimit::from_thousandths(limit), arrived);
     }
     let kind = KindKey(cx.call_kind);
+    if let Err(refusal) = d.dependencies.admit_at_exit(&d, &local, kind, req.headers()) {
+        return refuse(&d, &cx, refusal, arrived, Some(&local));
+    }
     let objective = Duration::from_millis(u64::from(cx.objective_ms));
     let transfer_time = match (origin, admit_on_link(&d, &cx, local.service_time(kind), arrived)) {
         (_, Ok(time)) => time,
@@ -242,6 +257,11 @@
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         in_band::apply(d, local, Signals::of(d, &head.headers), started);
+        let report =
+            d.dialect.load.as_ref().and_then(|name| headers::text(&head.headers, name.as_str()));
+        if let Some(report) = report {
+            local.observe_load_report(dependencies::names_pace(report));
+        }
     }
     if let Some(res) = refusal_of_upstream(d, cx, &head, local) {
         permit.end(End::Shed, d.clock.now());
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -5,6 +5,7 @@
 use super::work::RoutedCall;
 use super::{exit, headers};
 use crate::daemon::costs::Purpose;
+use crate::daemon::dependencies::DEPENDENCY;
 use crate::daemon::services::{AttemptGuard, Target};
 use crate::daemon::{Daemon, liveness, lock, quarantine};
 use cicadashift_core::request::choose::{LoadReport, Locality, Outcome};
@@ -143,6 +144,7 @@
         HEAD_BYTES + stated_length(&body),
     );
     let report = decode_report(&head.headers);
+    d.dependencies.record_answer(d, call, &head.headers);
     if d.in_band_signals.record(target.host, &target.instance, &head.headers, d.clock.now()) {
         d.services.sync(d);
     }
@@ -162,6 +164,8 @@
             Attempt::NotRun { .. } if reason == "unreached" => Outcome::Unreached,
             Attempt::NotRun { .. } if reason == "link-busy" => Outcome::LinkBusy,
             Attempt::NotRun { .. } if reason == "held-back" => Outcome::HeldBack,
+            // The upstream has room; only calls of this kind are not begun.
+            Attempt::NotRun { .. } if reason == DEPENDENCY => Outcome::HeldBack,
             Attempt::NotRun { .. } if reason == "full" => Outcome::Full { report },
             Attempt::NotRun { retry_after, .. } => Outcome::Refused { retry_after, report },
             Attempt::Unknown | Attempt::Answered => Outcome::Failed,
@@ -246,5 +250,8 @@
     *req.method_mut() = call.head.method.clone();
     *req.uri_mut() = call.head.uri.clone();
     *req.headers_mut() = call.head.headers.clone();
+    if call.is_admitted {
+        headers::set(req.headers_mut(), call::ADMITTED, "1");
+    }
     req
 }
--- a/src/daemon/request/work.rs
+++ b/src/daemon/request/work.rs
@@ -43,6 +43,8 @@
     pub deadline: Instant,
     /// The latency objective as a moment: an answer after it is worth less.
     pub objective: Instant,
+    /// Whether it was admitted by the levels of all hosts for the sake of its nested calls.
+    pub is_admitted: bool,
     /// Most times it may be sent to an upstream.
     pub max_attempts: u32,
     /// Its head.
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -67,6 +67,7 @@
         "object_bytes": versions.objects.1,
         "upstreams": upstreams,
         "services": services,
+        "dependencies": d.dependencies.status(d),
         "members": d.members.others().len() + 1,
         "control_bytes": d.costs.control_bytes(),
         "config_age_ms": d.versions.document.confirmed_age_ms(d.clock.now()),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,11 +126,13 @@
     pub overlap: bool,
     /// Measure the waiting time of a returning caller from its first, refused call.
     pub returning: bool,
+    /// Begin only as many calls as their nested calls find capacity for.
+    pub dependencies: bool,
 }
 
 impl Default for LoadPolicy {
     fn default() -> LoadPolicy {
-        LoadPolicy { overlap: true, returning: true }
+        LoadPolicy { overlap: true, returning: true, dependencies: true }
     }
 }
 
