--- a/crates/core/tests/dependency.rs
+++ b/crates/core/tests/dependency.rs
@@ -276,3 +276,174 @@
     assert_eq!(after.begun, after.offered);
     assert_eq!(after.lost, 0);
 }
+
+#[test]
+fn an_upstream_that_fails_by_itself_is_not_throttled() {
+    // Failure: an upstream answers errors, and its host takes them for runs that were lost to
+    // refused nested calls. Symptom: callers are refused although both services have room.
+    for own_failures in [0.2, 1.0] {
+        let mut sim = Loop::new(true, 1);
+        sim.slots = 4 * SLOTS;
+        sim.own_failures = own_failures;
+        let totals = sim.run(ms(10_000));
+        assert!(totals.lost > 0);
+        assert_eq!(totals.begun, totals.offered);
+    }
+}
+
+#[test]
+fn a_kind_that_always_fails_is_not_throttled_for_the_calls_of_another() {
+    // Failure: one kind of run fails by itself, and nested calls of another kind are refused.
+    // Symptom: both kinds are throttled.
+    let (failing, calling) = (KindKey(8), KindKey(9));
+    let start = Instant::now();
+    let mut levels = Levels::default();
+    for n in 0..1000 {
+        let now = start + ms(10 * n);
+        levels.record_run(failing, Priority::NORMAL, true, now);
+        // The other kind's nested calls are refused from the fifth second on.
+        let is_refused = n >= 500 && n % 2 == 0;
+        levels.record_nested(if is_refused { NestedEnd::Refused } else { NestedEnd::Ran }, now);
+        levels.record_run(calling, Priority::NORMAL, is_refused, now + ms(1));
+    }
+    assert_eq!(levels.level(failing), None);
+    assert!(levels.level(calling).is_some());
+}
+
+#[test]
+fn services_that_call_each_other_recover() {
+    // Failure: after an overload each of two services refuses the nested calls of the other by
+    // its own level, and lowers its level since its nested calls are refused. Symptom: both
+    // stay at the floor although nobody is full any more.
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut now = Instant::now();
+    let mut both = [Levels::default(), Levels::default()];
+    let mut run = |both: &mut [Levels; 2], time: Duration, is_full: bool| {
+        let until = now + time;
+        while now < until {
+            now += ms(10);
+            for caller in 0..2 {
+                if both[caller].admit(PARENT, now, rng.u64(..)).is_err() {
+                    continue;
+                }
+                let end = match both[1 - caller].admit(PARENT, now, rng.u64(..)) {
+                    _ if is_full && rng.f64() < 0.7 => NestedEnd::Refused,
+                    Ok(()) => NestedEnd::Ran,
+                    Err(_) => NestedEnd::PassedOn,
+                };
+                both[caller].record_nested(end, now);
+                let is_lost = end != NestedEnd::Ran;
+                both[caller].record_run(PARENT, Priority::NORMAL, is_lost, now);
+            }
+        }
+    };
+    run(&mut both, ms(5000), true);
+    for levels in &both {
+        assert!(levels.level(PARENT).is_some_and(|level| level.thousandths() < 300));
+    }
+    run(&mut both, ms(6000), false);
+    assert_eq!(both.each_ref().map(|levels| levels.level(PARENT)), [None, None]);
+}
+
+#[test]
+fn a_level_is_forgotten_without_evidence() {
+    // Failure: all callers leave while a level is low. Symptom: the first ones that come back
+    // are refused for what was long ago.
+    let start = Instant::now();
+    let mut levels = Levels::default();
+    for n in 0..300 {
+        let now = start + ms(10 * n);
+        levels.record_nested(NestedEnd::Refused, now);
+        levels.record_run(PARENT, Priority::NORMAL, true, now);
+    }
+    assert_eq!(levels.tick(start + ms(3000)), [Change::Began(PARENT)]);
+    assert!(levels.level(PARENT).is_some());
+    assert_eq!(levels.tick(start + ms(6200)), [Change::Ended(PARENT)]);
+    assert_eq!(levels.level(PARENT), None);
+}
+
+#[test]
+fn a_more_urgent_kind_keeps_its_share() {
+    // Failure: levels are lowered without regard to ranks. Symptom: more urgent callers are
+    // refused as often as others.
+    let mut sim = Loop::new(true, 1);
+    sim.urgent_share = 0.25;
+    sim.run(ms(3000));
+    let totals = sim.run(ms(10_000));
+    let urgent = f64::from(totals.urgent_begun) / f64::from(totals.urgent_offered);
+    let others = f64::from(totals.begun - totals.urgent_begun)
+        / f64::from(totals.offered - totals.urgent_offered);
+    assert!(urgent > 0.9, "{urgent} {others}");
+    assert!(others < 0.5, "{urgent} {others}");
+}
+
+#[test]
+fn a_kind_that_enters_at_hosts_of_one_service_is_nested() {
+    // Failure: ordinary calls are taken for nested ones, or nested ones are not known.
+    // Symptom: callers are refused for refusals that end no run, or runs are lost.
+    let (own, caller, other) = (ServiceKey(1), ServiceKey(2), ServiceKey(3));
+    let (nested, ordinary, rare) = (KindKey(1), KindKey(2), KindKey(3));
+    let start = Instant::now();
+    let mut origins = Origins::default();
+    for n in 0..100 {
+        origins.record(nested, caller, start + ms(n));
+    }
+    let now = start + ms(100);
+    // No host of another service has callers yet.
+    assert_eq!(origins.nested_of(nested, own, now), None);
+    for n in 0..100 {
+        origins.record(ordinary, if n % 3 == 0 { caller } else { other }, start + ms(n));
+    }
+    origins.record(rare, caller, now);
+    assert_eq!(origins.nested_of(nested, own, now), Some(caller));
+    assert_eq!(origins.nested_of(nested, caller, now), None);
+    assert_eq!(origins.nested_of(ordinary, own, now), None);
+    assert_eq!(origins.nested_of(rare, own, now), None);
+    // One call from elsewhere, and for ten seconds nothing is concluded.
+    origins.record(nested, other, now);
+    for n in 0..1500 {
+        origins.record(nested, caller, now + ms(10 * n));
+        origins.record(ordinary, other, now + ms(10 * n));
+        let is_known = origins.nested_of(nested, own, now + ms(10 * n)).is_some();
+        assert_eq!(is_known, n >= 1000, "{n}");
+    }
+}
+
+#[test]
+fn what_is_known_of_nested_kinds_is_bounded_and_ages() {
+    // Failure: a daemon keeps what it was told for ever. Symptom: memory grows with the kinds,
+    // and a kind that callers use now counts as nested.
+    let start = Instant::now();
+    let mut nested = NestedKinds::default();
+    (0..1000).for_each(|kind| nested.record(KindKey(kind), start));
+    let known = (0..1000).filter(|kind| nested.contains(KindKey(*kind), start)).count();
+    assert_eq!(known, 64);
+    let later = start + ms(10_000);
+    assert!(!nested.contains(KindKey(0), later));
+    nested.record(KindKey(5000), later);
+    assert!(nested.contains(KindKey(5000), later));
+}
+
+#[test]
+fn an_entry_refuses_by_the_mean_of_fresh_levels_of_the_same_kind() {
+    // Failure: an entry daemon refuses by the level of one host, of another kind, or of long
+    // ago. Symptom: callers are refused whom a host would admit.
+    let (service, now) = (ServiceKey(1), Instant::now());
+    let mut reported = ReportedLevels::default();
+    // Returns how many of a thousand calls are admitted; `None` where no level is known.
+    let admitted = |reported: &ReportedLevels, kind, now| {
+        let mut rng = fastrand::Rng::with_seed(1);
+        let decide = |_| reported.admit(service, kind, now, rng.u64(..));
+        let all: Vec<_> = (0..1000).map(decide).collect();
+        let is_known = !all.contains(&EntryDecision::Unknown);
+        is_known.then(|| all.iter().filter(|one| **one == EntryDecision::Admit).count())
+    };
+    reported.record(service, PARENT, None, now);
+    assert_eq!(admitted(&reported, PARENT, now), None, "unknown");
+    reported.record(service, PARENT, Some(Level::from_thousandths(200)), now);
+    reported.record(service, PARENT, None, now);
+    let share = admitted(&reported, PARENT, now).expect("a level is known");
+    assert!((550..650).contains(&share), "{share}");
+    assert_eq!(admitted(&reported, URGENT, now), None, "another kind is unknown");
+    assert_eq!(admitted(&reported, PARENT, now + ms(1000)), None, "too old");
+}
