--- a/crates/core/src/request/gate/refusal.rs
+++ b/crates/core/src/request/gate/refusal.rs
@@ -31,6 +31,8 @@
     HeldBack { retry_after: Duration },
     /// The upstream's machine is slow at the moment, and another upstream may be faster.
     SlowHost { retry_after: Duration },
+    /// The nested calls of such calls are refused by the service that they call.
+    Dependency { retry_after: Duration },
 }
 
 impl Refusal {
@@ -45,7 +47,8 @@
             | Refusal::Quarantined { retry_after }
             | Refusal::Disputed { retry_after }
             | Refusal::HeldBack { retry_after }
-            | Refusal::SlowHost { retry_after } => *retry_after,
+            | Refusal::SlowHost { retry_after }
+            | Refusal::Dependency { retry_after } => *retry_after,
             Refusal::TooLate | Refusal::Draining | Refusal::Gone => MIN_RETRY_AFTER,
         }
     }
@@ -66,6 +69,7 @@
             Refusal::Disputed { .. } => "disputed",
             Refusal::HeldBack { .. } => "held-back",
             Refusal::SlowHost { .. } => "slow-host",
+            Refusal::Dependency { .. } => "dependency",
         })
     }
 }
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -9,6 +9,7 @@
 use super::work::{RoutedCall, pick_part};
 use super::{headers, paced};
 use crate::daemon::Daemon;
+use crate::daemon::services::Service;
 use crate::daemon::source::MAX_CALLER_IDLE;
 use crate::logging::{DecisionClass, rate_limited_decision};
 use cicadashift_core::config::Route;
@@ -99,7 +100,7 @@
     if incoming.size_hint().lower() > route.max_body {
         return headers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body is over the route's limit\n");
     }
-    let kind = hash(&(&route.host, &route.prefix));
+    let kind = kind_of(&route).0;
     let caller_timeout = headers::number(&head.headers, d.dialect.deadline_ms.as_str());
     let caller_timeout = caller_timeout.map(Duration::from_millis);
     let caller_deadline = caller_timeout.map(|caller_timeout| started + caller_timeout);
@@ -108,7 +109,7 @@
         Some(account) => route.priority.within(account.priority),
         None => route.priority,
     };
-    if d.settings.load.throttle
+    if is_throttled_service(d, &route)
         && let Err(wait) = d.throttles.admit(KindKey(kind), priority, started)
     {
         expect_return(d, kind, first_arrival, caller_deadline);
@@ -170,11 +171,13 @@
         started,
         deadline,
         objective,
+        is_admitted: false,
         max_attempts,
         head,
         turn,
     };
     let res = attempts::run(d, call, payload).await;
+    d.dependencies.record_entered(d, KindKey(kind), &res);
     if let Some(account) = organisation.filter(|_| headers::is_not_run(res.headers())) {
         d.limits.give_back(account.limit);
     }
@@ -275,6 +278,13 @@
     res
 }
 
+/// Returns whether calls of a route are throttled here: where upstreams report the pace of their
+/// machines.
+fn is_throttled_service(d: &Daemon, route: &Route) -> bool {
+    let reports_pace = |service: &mut Service| service.picker.reports_pace();
+    d.settings.load.throttle && d.services.with(&route.service, reports_pace).unwrap_or(false)
+}
+
 /// Refuses a call of a kind that hosts have no room for; see
 /// [`cicadashift_core::request::throttle`].
 fn refuse_throttled(
@@ -354,6 +364,11 @@
     table.route(key).cloned()
 }
 
+/// Returns the kind of the calls that match a route.
+pub fn kind_of(route: &Route) -> KindKey {
+    KindKey(hash(&(&route.host, &route.prefix)))
+}
+
 fn request_id(d: &Daemon, head: &Parts) -> String {
     headers::text(&head.headers, d.dialect.request_id.as_str())
         .filter(|id| (1..=128).contains(&id.len()))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -130,11 +130,19 @@
     pub throttle: bool,
     /// Take into account how slow the machines of upstreams are at the moment.
     pub pace: bool,
+    /// Begin only as many calls as their nested calls find capacity for.
+    pub dependencies: bool,
 }
 
 impl Default for LoadPolicy {
     fn default() -> LoadPolicy {
-        LoadPolicy { overlap: true, returning: true, throttle: true, pace: true }
+        LoadPolicy {
+            overlap: true,
+            returning: true,
+            throttle: true,
+            pace: true,
+            dependencies: true,
+        }
     }
 }
 
