Poll sockets and timers on the threads that run tasks

Cause: async-io waits on a thread of its own, which is woken beside the thread that runs the tasks; each wait sets a timer of the kernel, and each wait for a socket arms it again. On a part of a core these are system calls and switches that each call pays for.

Ruled out: a thread only for polling (the same switch for each event); one fixed polling thread (its future may block it or end while others go on); watching datagram sockets for writing (each datagram that left is an event).

Change: crates/http/src/reactor on rustix's epoll. Threads of exec::run poll when they have no task, and after each round of 61 tasks. Sockets are registered once, edge-triggered; timers are a map of the process. The product uses its Async and Timer, hyper its HyperTimer. Test servers listen with its Async, since serve takes it, and in_flight.rs with both ends; these tests are otherwise unchanged. async-signal keeps its async-io thread, which sleeps until a signal arrives.

--- a/crates/http/src/activity.rs
+++ b/crates/http/src/activity.rs
@@ -1,5 +1,6 @@
 //! The requests in flight on a connection, and how long it has been idle.
 
+use crate::reactor::Timer;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -78,9 +79,9 @@
     /// even after a graceful shutdown is requested; without this bound a stop would
     /// wait as well.
     pub async fn idle_after(&self, time: Duration) {
-        smol::Timer::after(time).await;
+        Timer::after(time).await;
         while self.in_flight.load(Ordering::Relaxed) > 0 {
-            smol::Timer::after(time).await;
+            Timer::after(time).await;
         }
     }
 
@@ -96,7 +97,7 @@
             if remaining.is_zero() {
                 return;
             }
-            smol::Timer::after(remaining.min(MAX_IDLE_CHECK_INTERVAL)).await;
+            Timer::after(remaining.min(MAX_IDLE_CHECK_INTERVAL)).await;
         }
     }
 }
--- a/crates/http/src/ahead/mod.rs
+++ b/crates/http/src/ahead/mod.rs
@@ -27,13 +27,14 @@
 mod scan;
 
 use crate::body::{self, Body};
+use crate::reactor::Async;
 use bytes::{Buf, BytesMut};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
 use scan::{Scanner, Step};
+use smol::Task;
 use smol::io::{AsyncRead, AsyncWrite};
-use smol::{Async, Task};
 use std::collections::VecDeque;
 use std::io;
 use std::net::TcpStream;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,13 +6,13 @@
 //! to the next request.
 
 use crate::body::{Body, BodyError};
+use crate::reactor::Async;
 use crate::{exec, socket};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
-use smol::Async;
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
 use std::fmt;
--- a/crates/http/src/exec.rs
+++ b/crates/http/src/exec.rs
@@ -1,5 +1,6 @@
 //! The executor of the process.
 
+use crate::reactor::{self, Timer};
 use smol::{Executor, Task};
 use std::future::Future;
 
@@ -11,25 +12,25 @@
 }
 
 /// Runs a future to completion on the calling thread, while `threads` threads in all
-/// drive the spawned tasks.
+/// drive the spawned tasks, sockets and timers.
 ///
 /// # Panics
 ///
-/// Panics if a worker thread cannot be started.
+/// Panics if the system offers no epoll or a worker thread cannot be started.
 pub fn run<T>(threads: usize, main: impl Future<Output = T>) -> T {
     for i in 1..threads.max(1) {
         std::thread::Builder::new()
             .name(format!("worker-{i}"))
-            .spawn(|| smol::block_on(EXECUTOR.run(std::future::pending::<()>())))
+            .spawn(|| reactor::drive(&EXECUTOR, std::future::pending::<()>()))
             .expect("worker threads can be started");
     }
-    smol::block_on(EXECUTOR.run(main))
+    reactor::drive(&EXECUTOR, main)
 }
 
 /// Runs a future for at most `time`; returns `None` if it has not finished by then.
 pub async fn timeout<T>(time: std::time::Duration, future: impl Future<Output = T>) -> Option<T> {
     let expired = async {
-        smol::Timer::after(time).await;
+        Timer::after(time).await;
         None
     };
     smol::future::or(async { Some(future.await) }, expired).await
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,6 +3,7 @@
 use crate::activity::{Activity, RequestGuard};
 use crate::ahead::{Io, MayOverlap, NextRequest, ReadAhead};
 use crate::body::{self, Body, BodyError};
+use crate::reactor::{Async, HyperTimer, Timer};
 use crate::{exec, socket};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -10,8 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use smol::Async;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -112,7 +112,7 @@
             None => break,
             Some(Ok(accepted)) => accepted,
             Some(Err(_)) => {
-                smol::Timer::after(ACCEPT_RETRY_DELAY).await;
+                Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
@@ -156,7 +156,7 @@
         Box::pin(answer(peer, req, service_ahead.clone(), handler.clone(), guard))
     });
     let serving = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(HyperTimer)
         .header_read_timeout(limits.head_timeout + limits.idle_timeout.get())
         .max_buf_size(limits.head_bytes.max(8192))
         .serve_connection(FuturesIo::new(Io(read_ahead.clone())), service);
@@ -197,7 +197,7 @@
 async fn finish_started(read_ahead: &ReadAhead) {
     read_ahead.stop_early_starts();
     while read_ahead.has_started() {
-        smol::Timer::after(DRAIN_CHECK_INTERVAL).await;
+        Timer::after(DRAIN_CHECK_INTERVAL).await;
     }
 }
 
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -11,6 +11,7 @@
 use cicadashift_core::config::manifest::Object;
 use cicadashift_core::config::{Invalid, Labels, Selector, check_labels, check_name};
 use cicadashift_core::delivery::head::Operation;
+use cicadashift_http::reactor::Timer;
 use serde_json::{Value, json};
 use std::fmt;
 use std::net::SocketAddr;
@@ -211,7 +212,7 @@
                 return Ok(Output { human, machine: status, code: SUCCESS });
             }
             println!("{human}{}\n", progress_text(&progress));
-            smol::Timer::after(WATCH_INTERVAL).await;
+            Timer::after(WATCH_INTERVAL).await;
         }
     }
 
--- a/src/cli/reload.rs
+++ b/src/cli/reload.rs
@@ -2,6 +2,7 @@
 
 use crate::logging;
 use crate::settings::Settings;
+use cicadashift_http::reactor::Timer;
 use flexi_logger::LoggerHandle;
 use smol::channel::{Receiver, Sender};
 use std::path::{Path, PathBuf};
@@ -56,7 +57,7 @@
 pub async fn watch(reloader: Arc<Reloader>) {
     let mut last_modified = modified_at(&reloader.file);
     loop {
-        smol::Timer::after(POLL_INTERVAL).await;
+        Timer::after(POLL_INTERVAL).await;
         let modified = modified_at(&reloader.file);
         if modified != last_modified && modified.is_some() {
             last_modified = modified;
--- a/src/daemon/catch_up.rs
+++ b/src/daemon/catch_up.rs
@@ -7,6 +7,7 @@
 use cicadashift_core::delivery::stage::Scope;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::table::Comparison;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request, Response, VersionRef};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,10 +29,10 @@
     loop {
         if d.versions.running_version() == 0 {
             find_first_version(&d).await;
-            smol::Timer::after(jitter(pause)).await;
+            Timer::after(jitter(pause)).await;
             pause = (pause * 2).min(BACKOFF.1);
         } else {
-            smol::Timer::after(jitter(KEEP_UP_INTERVAL)).await;
+            Timer::after(jitter(KEEP_UP_INTERVAL)).await;
         }
         stage_active_version(&d).await;
         sync_with_unknown_peer(&d).await;
@@ -115,7 +116,7 @@
             return;
         }
         rounds += 1;
-        smol::Timer::after(jitter(BACKOFF.0 * rounds)).await;
+        Timer::after(jitter(BACKOFF.0 * rounds)).await;
     }
 }
 
--- a/src/daemon/costs.rs
+++ b/src/daemon/costs.rs
@@ -6,6 +6,7 @@
 
 use super::Daemon;
 use crate::store::StoreCall;
+use cicadashift_http::reactor::Timer;
 use serde_json::{Map, Value, json};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -90,7 +91,7 @@
 /// Publishes the counters until cancelled.
 pub async fn run(d: Arc<Daemon>) {
     loop {
-        smol::Timer::after(PUBLISH_INTERVAL).await;
+        Timer::after(PUBLISH_INTERVAL).await;
         publish(&d);
     }
 }
--- a/src/daemon/discovery.rs
+++ b/src/daemon/discovery.rs
@@ -15,6 +15,7 @@
 use super::{Daemon, catch_up, lock};
 use crate::store::{ConditionalWrite, KeyValueStore, Lease, Pair, PlatformError, keys};
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -80,7 +81,7 @@
             (Ok(()), 1) => ALONE_ROUND_INTERVAL,
             (Ok(()), _) => ROUND_INTERVAL,
         };
-        smol::Timer::after(pause.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        Timer::after(pause.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
     }
 }
 
--- a/src/daemon/garbage.rs
+++ b/src/daemon/garbage.rs
@@ -4,6 +4,7 @@
 use crate::store::{KeyValueStore, PlatformError, keys};
 use cicadashift_core::delivery::garbage::Sweep;
 use cicadashift_core::ids::{ObjectHash, Revision};
+use cicadashift_http::reactor::Timer;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 pub async fn run(d: Arc<Daemon>) {
     let mut sweep = Sweep::default();
     loop {
-        smol::Timer::after(ROUND_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        Timer::after(ROUND_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
         if !d.members.own().reader {
             sweep = Sweep::default();
             continue;
--- a/src/daemon/gates/ended.rs
+++ b/src/daemon/gates/ended.rs
@@ -16,7 +16,8 @@
 use crate::daemon::{Daemon, quarantine};
 use cicadashift_core::ids::CallDigest;
 use cicadashift_http::exec;
-use smol::Async;
+use cicadashift_http::reactor::Async;
+use cicadashift_http::reactor::Timer;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -90,7 +91,7 @@
     if refuses_connections(local.address).await {
         return true;
     }
-    smol::Timer::after(RECHECK_DELAY).await;
+    Timer::after(RECHECK_DELAY).await;
     let has_other_calls =
         local.in_flight().len() > local.end_check.broken_calls.load(Ordering::Relaxed);
     !has_other_calls && refuses_connections(local.address).await
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -12,6 +12,7 @@
 use cicadashift_edge::interface::Announcement;
 use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use smol::channel::{Receiver, Sender};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -409,7 +410,7 @@
             return decision.await;
         };
         let token = async {
-            smol::Timer::after(wait).await;
+            Timer::after(wait).await;
             None
         };
         smol::future::or(decision, token).await
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -8,6 +8,7 @@
 use super::{Daemon, lock};
 use cicadashift_core::membership::record::{Endpoint, Readiness};
 use cicadashift_edge::interface::Announcement;
+use cicadashift_http::reactor::Timer;
 use local::{LATE_REPORT_WINDOW, Load, LocalUpstream};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -229,7 +230,7 @@
 /// Removes upstreams that stopped reporting and updates all queues, until cancelled.
 pub async fn run(d: Arc<Daemon>) {
     loop {
-        smol::Timer::after(TICK_INTERVAL).await;
+        Timer::after(TICK_INTERVAL).await;
         d.gates.tick(&d);
         d.mesh_pool.sweep();
     }
--- a/src/daemon/gateway.rs
+++ b/src/daemon/gateway.rs
@@ -12,6 +12,7 @@
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::membership::table::JournalPos;
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request, Response, VersionRef};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -56,7 +57,7 @@
     let mut rounds = 0;
     let mut last_pos: JournalPos = 0;
     loop {
-        smol::Timer::after(POLL_INTERVAL).await;
+        Timer::after(POLL_INTERVAL).await;
         polls += 1;
         if !is_gateway(&d) {
             continue;
@@ -174,7 +175,7 @@
     let d = d.clone();
     exec::spawn(async move {
         // A reader that can reach the platform promotes the version itself within this time.
-        smol::Timer::after(POLL_INTERVAL).await;
+        Timer::after(POLL_INTERVAL).await;
         d.versions.add_version_ref(newest);
         if d.versions.active_version() < newest.version {
             let source = ObjectSource::Peers(vec![from]);
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -9,6 +9,7 @@
 use cicadashift_core::membership::gossip::RECORDS_PER_DATAGRAM;
 use cicadashift_core::membership::record::Health;
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::datagram::{Datagram, Kind, MAX_DATAGRAM};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,7 +49,7 @@
     let mut last_round = next_dead_probe;
     loop {
         let is_idle = d.members.is_queue_empty();
-        smol::Timer::after(if is_idle { IDLE_TICK } else { TICK }).await;
+        Timer::after(if is_idle { IDLE_TICK } else { TICK }).await;
         let now = d.clock.now();
         for action in d.members.tick(now, fastrand::u64(..)) {
             perform(&d, action).await;
@@ -80,7 +81,7 @@
     let mut sync = SyncState::default();
     loop {
         let Ok((len, from)) = d.udp.recv_from(&mut buf).await else {
-            smol::Timer::after(TICK).await;
+            Timer::after(TICK).await;
             continue;
         };
         match Datagram::decode(&buf[..len], &d.key) {
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -13,6 +13,7 @@
 use cicadashift_http::body;
 use cicadashift_http::client::Pool;
 use cicadashift_http::hyper::{Request, StatusCode};
+use cicadashift_http::reactor::Timer;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +33,7 @@
 pub async fn run(d: Arc<Daemon>) {
     let Some(address) = d.settings.upstream else { return };
     while d.versions.running_version() == 0 {
-        smol::Timer::after(CONFIG_POLL_INTERVAL).await;
+        Timer::after(CONFIG_POLL_INTERVAL).await;
     }
     for _ in 0..ATTEMPTS {
         if !d.gates.all().is_empty() {
@@ -50,7 +51,7 @@
             }
             return;
         }
-        smol::Timer::after(PAUSE).await;
+        Timer::after(PAUSE).await;
     }
 }
 
--- a/src/daemon/limits/mod.rs
+++ b/src/daemon/limits/mod.rs
@@ -12,6 +12,7 @@
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::limit::share::Limiter;
 use cicadashift_core::limit::{EARLY_REPORT_GAP, Grant, LimitKey, REPORT_EVERY, Report};
+use cicadashift_http::reactor::Timer;
 use kept::KeptLimits;
 use notices::Notices;
 use smol::channel::{Receiver, Sender};
@@ -118,10 +119,10 @@
     loop {
         let interval = REPORT_EVERY.mul_f64(0.9 + 0.2 * fastrand::f64());
         let regular = async {
-            smol::Timer::after(interval).await;
+            Timer::after(interval).await;
         };
         let early = async {
-            smol::Timer::after(EARLY_REPORT_GAP).await;
+            Timer::after(EARLY_REPORT_GAP).await;
             // The sender is never dropped before this task.
             let _ = d.limits.wakeup.1.recv().await;
         };
--- a/src/daemon/liveness.rs
+++ b/src/daemon/liveness.rs
@@ -6,6 +6,7 @@
 use super::{Daemon, datagrams, lock};
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::liveness::Check;
+use cicadashift_http::reactor::Timer;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,7 +63,7 @@
     }
     let started = d.clock.now();
     loop {
-        smol::Timer::after(CHECK_INTERVAL).await;
+        Timer::after(CHECK_INTERVAL).await;
         let now = d.clock.now();
         match check(d, host) {
             Check::Wait => {}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -60,13 +60,13 @@
 use cicadashift_http::client::Pool;
 use cicadashift_http::hyper::header::HeaderName;
 use cicadashift_http::hyper::{Request, Response};
+use cicadashift_http::reactor::{Async, Timer};
 use cicadashift_http::server::{self, IdleTimeout, StopHandle, StopSignal};
 use cicadashift_http::{exec, server::Limits};
 use cicadashift_platform::PlatformAdapter;
 use cicadashift_wire::call;
 use cicadashift_wire::seal::MeshKey;
 use eyre::WrapErr;
-use smol::Async;
 use smol::channel::Receiver;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -463,7 +463,7 @@
         self.leaving.store(true, Ordering::Relaxed);
         let time = self.tunable.get().leave;
         let until = self.clock.now() + time;
-        smol::Timer::after(time.saturating_sub(ANNOUNCE_TIME)).await;
+        Timer::after(time.saturating_sub(ANNOUNCE_TIME)).await;
         self.members.announce_leaving(self);
         gossip::flush(self).await;
         match self.settings.interface {
@@ -474,12 +474,12 @@
                     exec::timeout(ENTRY_REMOVAL_TIMEOUT, discovery::remove_entry(self)).await;
             }
         }
-        smol::Timer::after(until.saturating_duration_since(self.clock.now())).await;
+        Timer::after(until.saturating_duration_since(self.clock.now())).await;
     }
 
     async fn wait_for_calls(&self, until: Instant) {
         while self.calls_in_flight.load(Ordering::Relaxed) > 0 && self.clock.now() < until {
-            smol::Timer::after(STOP_POLL_INTERVAL).await;
+            Timer::after(STOP_POLL_INTERVAL).await;
         }
     }
 }
--- a/src/daemon/promotion.rs
+++ b/src/daemon/promotion.rs
@@ -10,6 +10,7 @@
 use cicadashift_core::delivery::tree::{self, Branch, FANOUT};
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{DeliveryResult, ManifestDelta, Request, Response, VersionRef};
 use std::sync::Arc;
 use std::time::Duration;
@@ -119,7 +120,7 @@
 async fn collect_promises(d: &Arc<Daemon>, version: Version) -> bool {
     for attempt in 0..MAX_PROMISE_ATTEMPTS {
         if attempt > 0 {
-            smol::Timer::after(PROMISE_RETRY_INTERVAL).await;
+            Timer::after(PROMISE_RETRY_INTERVAL).await;
         }
         stage::request_promises(d, version).await;
         if d.versions.active_version() >= version {
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -17,6 +17,7 @@
 use cicadashift_core::membership::gossip::Queue;
 use cicadashift_core::request::suspects::{QuarantineState, Review, Suspects, Suspicion};
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{self, Request as Ask, Response};
 use smol::channel::{Receiver, Sender};
 use std::net::SocketAddr;
@@ -194,7 +195,7 @@
             log::warn!("quarantine: the store is unavailable: {err}");
         }
         is_failing = result.is_err();
-        smol::Timer::after(MAINTENANCE_INTERVAL).await;
+        Timer::after(MAINTENANCE_INTERVAL).await;
     }
 }
 
@@ -300,7 +301,7 @@
 pub async fn send_updates(d: Arc<Daemon>) {
     while d.quarantine.wakeup.1.recv().await.is_ok() {
         while send_round(&d).await {
-            smol::Timer::after(GOSSIP_INTERVAL).await;
+            Timer::after(GOSSIP_INTERVAL).await;
         }
     }
 }
--- a/src/daemon/reader.rs
+++ b/src/daemon/reader.rs
@@ -15,6 +15,7 @@
 use cicadashift_core::delivery::node::Event;
 use cicadashift_core::ids::{HostKey, ObjectHash, Version};
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::VersionRef;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -69,7 +70,7 @@
 pub async fn run(d: Arc<Daemon>) {
     let mut pause = BACKOFF.0;
     loop {
-        smol::Timer::after(jitter(CANDIDATE_INTERVAL)).await;
+        Timer::after(jitter(CANDIDATE_INTERVAL)).await;
         if !is_candidate(&d) || d.is_leaving() {
             continue;
         }
@@ -78,7 +79,7 @@
             Err(err) => {
                 log::warn!("reader: platform error: {err}");
                 d.metrics.incr("platform.failed");
-                smol::Timer::after(jitter(pause)).await;
+                Timer::after(jitter(pause)).await;
                 pause = (pause * 2).min(BACKOFF.1);
             }
         }
@@ -111,7 +112,7 @@
         }
         let since = d.clock.now().saturating_duration_since(began);
         if since < MIN_READ_INTERVAL {
-            smol::Timer::after(MIN_READ_INTERVAL - since).await;
+            Timer::after(MIN_READ_INTERVAL - since).await;
         }
     }
     let head = read_head(d).await.ok()?;
@@ -188,7 +189,7 @@
     let mut last_written = None::<Instant>;
     let mut failing_since = None::<Instant>;
     loop {
-        smol::Timer::after(KEEP_ALIVE_INTERVAL).await;
+        Timer::after(KEEP_ALIVE_INTERVAL).await;
         match d.store.keep_alive(lease).await {
             Ok(true) => failing_since = None,
             Ok(false) => {
--- a/src/daemon/record.rs
+++ b/src/daemon/record.rs
@@ -9,6 +9,7 @@
 use crate::store::{KeyValueStore, keys};
 use cicadashift_core::delivery::promotion::Promotion;
 use cicadashift_core::ids::{HostKey, Version};
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{DeliveryResult, RecordRow, Request, VersionRef};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -150,7 +151,7 @@
 /// Writes new rows, or sends them to the reader, at each interval.
 pub async fn run(d: Arc<Daemon>) {
     loop {
-        smol::Timer::after(FLUSH_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        Timer::after(FLUSH_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
         // Only the reader writes; other daemons keep their rows until the reader has them.
         if d.members.own().reader {
             flush(&d).await;
--- a/src/daemon/request/attempts/hedge.rs
+++ b/src/daemon/request/attempts/hedge.rs
@@ -14,6 +14,7 @@
 use crate::daemon::{Daemon, liveness, quarantine};
 use cicadashift_core::request::retry::{Attempt, RetryDecision};
 use cicadashift_core::request::suspects::QuarantineState;
+use cicadashift_http::reactor::Timer;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -117,7 +118,7 @@
     });
     let slow = async {
         match after.flatten().filter(|_| may_hedge) {
-            Some(time) => smol::Timer::after(time).await,
+            Some(time) => Timer::after(time).await,
             None => std::future::pending().await,
         };
         // A hedged attempt gains nothing while earlier answers on the caller's connection
--- a/src/daemon/request/attempts/mod.rs
+++ b/src/daemon/request/attempts/mod.rs
@@ -17,6 +17,7 @@
 use cicadashift_core::request::retry::{Attempt, CallState, RetryDecision};
 use cicadashift_http::body::Body;
 use cicadashift_http::hyper::Response;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::call;
 use hedge::attempt;
 use history::AttemptHistory;
@@ -99,7 +100,7 @@
         }
         if reason == HELD_BACK && can_resend && history.may_wait_for_stage(d.clock.now()) {
             history.tried.retain(|key| *key != target.choice.key);
-            smol::Timer::after(STAGE_RETRY_INTERVAL).await;
+            Timer::after(STAGE_RETRY_INTERVAL).await;
             continue;
         }
         if reason == call::DISPUTED && can_resend {
--- a/src/daemon/request/paced.rs
+++ b/src/daemon/request/paced.rs
@@ -7,6 +7,7 @@
 use cicadashift_http::body::{Body, BodyError};
 use cicadashift_http::hyper::Response;
 use cicadashift_http::hyper::body::{Body as HttpBody, Frame, SizeHint};
+use cicadashift_http::reactor::Timer;
 use http_body_util::BodyExt;
 use std::future::Future;
 use std::pin::Pin;
@@ -42,7 +43,7 @@
     body: Body,
     /// Bytes that were read from the body and not sent yet.
     buffered: Bytes,
-    pause: Option<smol::Timer>,
+    pause: Option<Timer>,
 }
 
 impl PacedBody {
@@ -54,7 +55,7 @@
         match link.request_piece(self.transfer, bytes as u64, self.d.clock.now()) {
             Ok(()) => Some(bytes),
             Err(wait) => {
-                self.pause = Some(smol::Timer::after(wait));
+                self.pause = Some(Timer::after(wait));
                 None
             }
         }
--- a/src/daemon/request/trial.rs
+++ b/src/daemon/request/trial.rs
@@ -17,6 +17,7 @@
 use cicadashift_core::request::jitter;
 use cicadashift_core::request::suspects::{QuarantineState, Review};
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -90,7 +91,7 @@
         {
             return QuarantineDecision::SendAsTrial(trial);
         }
-        smol::Timer::after(POLL_INTERVAL).await;
+        Timer::after(POLL_INTERVAL).await;
     }
 }
 
@@ -98,7 +99,7 @@
 /// received already.
 pub async fn wait_for_update(d: &Daemon, in_doubt_since: &mut Option<Instant>) {
     in_doubt_since.get_or_insert(d.clock.now());
-    smol::Timer::after(POLL_INTERVAL).await;
+    Timer::after(POLL_INTERVAL).await;
 }
 
 fn wait_deadline(call: &RoutedCall, since: Instant) -> Instant {
--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -15,6 +15,7 @@
 use cicadashift_core::rollout::tally::{Quotas, Report};
 use cicadashift_core::rollout::{Order, Phase, Stage};
 use cicadashift_edge::interface::{Interface, RolloutState, RolloutStatus};
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -66,7 +67,7 @@
     let mut result_eras: HashMap<String, u64> = HashMap::new();
     let mut eras = Eras::default();
     loop {
-        smol::Timer::after(ROUND_INTERVAL).await;
+        Timer::after(ROUND_INTERVAL).await;
         eras.update(d.store.era(), d.clock.now());
         if lock(&d.rollouts.orders).is_empty() && lock(&d.rollouts.owned).is_empty() {
             continue;
--- a/src/daemon/rollouts/report.rs
+++ b/src/daemon/rollouts/report.rs
@@ -5,6 +5,7 @@
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::rollout::Stage;
 use cicadashift_core::rollout::tally::{Report, UpstreamReport};
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request as Ask, Response};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,7 +18,7 @@
 /// Reports to deciders, and expires and publishes stages, until cancelled.
 pub async fn run(d: Arc<Daemon>) {
     loop {
-        smol::Timer::after(REPORT_INTERVAL).await;
+        Timer::after(REPORT_INTERVAL).await;
         if !d.rollouts.has_stages() {
             continue;
         }
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -20,6 +20,7 @@
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_edge::interface::{Document, Interface, Malformed};
 use cicadashift_http::hyper::StatusCode;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request, Response, Update, UpdateBody};
 use std::fmt;
 use std::net::SocketAddr;
@@ -114,7 +115,7 @@
     first_read(&d).await;
     loop {
         if !should_follow(&d) {
-            smol::Timer::after(CHECK_INTERVAL).await;
+            Timer::after(CHECK_INTERVAL).await;
             continue;
         }
         let not_needed = async {
@@ -139,7 +140,7 @@
             available = false;
         }
         d.metrics.incr("platform.failed");
-        smol::Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
+        Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
         pause = (pause * 2).min(RETRY_PAUSE.1);
     }
 }
@@ -152,7 +153,7 @@
 async fn wait_for_followers(d: &Daemon) {
     let started = d.clock.now();
     loop {
-        smol::Timer::after(CHECK_INTERVAL).await;
+        Timer::after(CHECK_INTERVAL).await;
         let now = d.clock.now();
         let age = now.saturating_duration_since(started);
         let is_designated = age >= FIRST_START_WAIT.0 && d.members.followers().contains(&d.me);
@@ -173,7 +174,7 @@
             Ok(_) => return document.note_first_read(d.clock.now()),
             Err(err) => log::debug!("the first read of the configuration failed: {err}"),
         }
-        smol::Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
+        Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
         pause = (pause * 2).min(RETRY_PAUSE.1);
     }
 }
@@ -182,7 +183,7 @@
 /// until cancelled.
 pub async fn run_heartbeats(d: Arc<Daemon>) {
     loop {
-        smol::Timer::after(HEARTBEAT_INTERVAL.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
+        Timer::after(HEARTBEAT_INTERVAL.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
         send_heartbeats(&d).await;
     }
 }
@@ -236,7 +237,7 @@
 async fn until_not_needed(d: &Daemon) {
     let mut checks_not_needed = 0;
     while checks_not_needed < CHECKS_BEFORE_STOP {
-        smol::Timer::after(CHECK_INTERVAL).await;
+        Timer::after(CHECK_INTERVAL).await;
         checks_not_needed = if should_follow(d) { 0 } else { checks_not_needed + 1 };
     }
 }
@@ -258,7 +259,7 @@
         if !member_follows {
             return;
         }
-        smol::Timer::after(wait).await;
+        Timer::after(wait).await;
     }
     let Some(behind) = document.note_member_version(version, d.clock.now()) else { return };
     if d.is_fetching_config.swap(true, Ordering::Relaxed) {
@@ -474,7 +475,7 @@
 async fn debounce(d: &Daemon, key: &str, mut after: Revision) -> Result<Revision, PlatformError> {
     loop {
         d.versions.document.expect_read(Some(d.clock.now() + DEBOUNCE));
-        smol::Timer::after(DEBOUNCE).await;
+        Timer::after(DEBOUNCE).await;
         let revision = read_key(d, key).await?.unwrap_or(after);
         mark_current(d, d.clock.now());
         if revision == after {
--- a/src/daemon/stage.rs
+++ b/src/daemon/stage.rs
@@ -10,6 +10,7 @@
 use cicadashift_core::delivery::store::ObjectError;
 use cicadashift_core::ids::{HostKey, ObjectHash, Version};
 use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request, Response, VersionRef};
 use serde_bytes::ByteBuf;
 use std::fmt;
@@ -298,7 +299,7 @@
         if d.clock.now() >= deadline {
             return Err(StageError::AwaitsService(service.to_string()));
         }
-        smol::Timer::after(SERVICE_POLL_INTERVAL).await;
+        Timer::after(SERVICE_POLL_INTERVAL).await;
     }
     drop(services);
     let actions = d.versions.add_staged(version_ref, staged, scope);
--- a/src/operator/change.rs
+++ b/src/operator/change.rs
@@ -9,6 +9,7 @@
 use cicadashift_core::config::{Config, Invalid};
 use cicadashift_core::delivery::head::{Head, Operation, OperationOutcome, resolve_outcome};
 use cicadashift_core::ids::{ObjectHash, Version};
+use cicadashift_http::reactor::Timer;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -146,7 +147,7 @@
     for attempt in 0..MAX_ATTEMPTS {
         if attempt > 0 {
             let pause = BASE_BACKOFF * 2_u32.pow(attempt.min(5));
-            smol::Timer::after(pause.mul_f64(fastrand::f64())).await;
+            Timer::after(pause.mul_f64(fastrand::f64())).await;
             now = snapshot_with_retry(platform).await?;
             match resolve_outcome(&now.head, &op_id, base.head.version)? {
                 OperationOutcome::Done(version) => return Ok(version),
@@ -208,7 +209,7 @@
         last = snapshot(platform).await;
         match &last {
             Err(OperatorError::Platform(err)) if is_transient(err) => {
-                smol::Timer::after(BASE_BACKOFF * 2_u32.pow(attempt.min(4))).await;
+                Timer::after(BASE_BACKOFF * 2_u32.pow(attempt.min(4))).await;
             }
             _ => return last,
         }
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -7,6 +7,7 @@
 use cicadashift_http::body;
 use cicadashift_http::client::Pool;
 use cicadashift_http::hyper::{Method, Request, Response};
+use cicadashift_http::reactor::Timer;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -134,7 +135,7 @@
         if Instant::now() >= deadline {
             return Err(progress);
         }
-        smol::Timer::after(POLL_INTERVAL).await;
+        Timer::after(POLL_INTERVAL).await;
     }
 }
 
