Test that a failing kind is not throttled beside one that loses runs

Both refused calls of a run are recorded now, so that failing runs of the other kind are matched with one of them. Fails without the comparison with the usual share of failed runs.

--- a/crates/core/tests/dependency.rs
+++ b/crates/core/tests/dependency.rs
@@ -300,10 +300,11 @@
     let mut levels = Levels::default();
     for n in 0..1000 {
         let now = start + ms(10 * n);
-        levels.record_run(failing, Priority::NORMAL, true, now);
-        // The other kind's nested calls are refused from the fifth second on.
+        // The other kind's nested calls are refused from the fifth second on, both of a run.
         let is_refused = n >= 500 && n % 2 == 0;
-        levels.record_nested(if is_refused { NestedEnd::Refused } else { NestedEnd::Ran }, now);
+        let end = if is_refused { NestedEnd::Refused } else { NestedEnd::Ran };
+        (0..NESTED).for_each(|_| levels.record_nested(end, now));
+        levels.record_run(failing, Priority::NORMAL, true, now);
         levels.record_run(calling, Priority::NORMAL, is_refused, now + ms(1));
     }
     assert_eq!(levels.level(failing), None);
