--- a/crates/core/src/request/choose/observe.rs
+++ b/crates/core/src/request/choose/observe.rs
@@ -37,6 +37,10 @@
     /// of the upstream is ever observed, and every call to it is late. The elapsed time is
     /// a lower bound of the attempt's time and is counted as such; the attempt also counts as
     /// an error.
+    ///
+    /// Where upstreams report the pace of their machines, a late attempt most likely means that
+    /// the machine is slow for a moment, and the report that would say so is lost with the
+    /// attempt. It counts as such a report until the upstream gives no answer for longer.
     pub fn record_late(
         &mut self,
         key: UpstreamKey,
@@ -47,7 +51,12 @@
         let Some(stats) = self.kinds.get_mut(&demand.kind) else { return };
         stats.totals.add(elapsed.as_secs_f64() * 1e3);
         let relative = elapsed.as_secs_f64() * 1e3 / stats.total.max(0.1);
+        let is_paced = self.paced;
         let upstream = self.at_mut(key);
+        if is_paced && upstream.is_late_for_a_moment(now) {
+            upstream.presume_slow(relative, now);
+            return;
+        }
         // What the machine's momentary pace explains says nothing about the upstream.
         let relative = relative / upstream.machine_factor(now).max(1.0);
         upstream.observe_relative_time(relative.max(1.0), now);
--- a/crates/core/src/request/choose/upstream.rs
+++ b/crates/core/src/request/choose/upstream.rs
@@ -3,7 +3,7 @@
 use super::{LoadReport, Policy, UpstreamInfo};
 use crate::config::Priority;
 use crate::membership::record::Readiness;
-use crate::request::machine::MachinePace;
+use crate::request::machine::{MachinePace, PACE_TTL};
 use std::time::{Duration, Instant};
 
 /// Weight of a new observation in an upstream's relative time.
@@ -55,6 +55,8 @@
     pub next_token: Option<Instant>,
     /// Last reported pace of its machine, where it reports one.
     pub machine: Option<MachinePace>,
+    /// When the first attempt since its last answer was found late.
+    pub late_since: Option<Instant>,
     /// Sort key for the daemon's subset, which has the upstreams with the lowest keys.
     pub subset_rank: u64,
 }
@@ -90,6 +92,7 @@
             accept_ratio: None,
             next_token: None,
             machine: None,
+            late_since: None,
             subset_rank,
         }
     }
@@ -152,6 +155,7 @@
         self.hint = load.map(|load| (load, now));
         self.error_ratio = self.error_ratio(now) * (1.0 - ERROR_SMOOTHING);
         self.error_ratio_at = now;
+        self.late_since = None;
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = None;
@@ -173,6 +177,19 @@
         self.machine.map_or(1.0, |machine| machine.factor(now))
     }
 
+    /// Returns whether the attempts that were late since its last answer may all be due to one
+    /// slow moment of its machine, and counts another one.
+    pub fn is_late_for_a_moment(&mut self, now: Instant) -> bool {
+        let since = *self.late_since.get_or_insert(now);
+        now.saturating_duration_since(since) < PACE_TTL
+    }
+
+    /// Presumes that its machine is slow, as an attempt has taken a multiple of the usual time.
+    pub fn presume_slow(&mut self, factor: f64, now: Instant) {
+        let presumed = MachinePace::new((factor * 100.0) as u16, now);
+        self.machine = Some(presumed.newer(self.machine));
+    }
+
     /// Returns whether its machine is much slower than usual.
     pub fn is_slow(&self, now: Instant) -> bool {
         self.machine.is_some_and(|machine| machine.is_slow(now))
--- a/crates/core/tests/uneven.rs
+++ b/crates/core/tests/uneven.rs
@@ -3,9 +3,13 @@
 mod uneven_world;
 
 use cicadashift_core::config::Priority;
-use cicadashift_core::request::choose::Policy;
+use cicadashift_core::ids::HostKey;
+use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::request::choose::{
+    Demand, LoadReport, Locality, Outcome, Picker, Policy, UpstreamInfo, UpstreamKey,
+};
 use cicadashift_core::request::gate::{Admission, Arrival, CallerKey, End, Gate, KindKey, Refusal};
-use cicadashift_core::request::machine::{MachinePace, PACE_TTL, UpstreamLoad};
+use cicadashift_core::request::machine::{MachinePace, PACE_TTL, PaceReport, UpstreamLoad};
 use std::time::{Duration, Instant};
 use uneven_world::{Machine, Plan, Ran, Tally, run};
 
@@ -200,9 +204,53 @@
 fn hedging_by_the_distribution_keeps_the_budget_and_answers_more_in_time() {
     // Guards against hedged attempts that come too late to help although the budget would pay
     // for earlier ones.
-    let calm = Plan { calls_per_s: 300.0, ..PLAN };
-    let without = sum(Plan { policy: MEANS, ..calm }, |ran| ran.kinds[0]);
-    let with = sum(calm, |ran| ran.kinds[0]);
-    assert!(with.share() >= without.share() + 0.003, "{without:?}, {with:?}");
+    let busy = Plan { calls_per_s: 500.0, ..PLAN };
+    let without = sum(Plan { policy: MEANS, ..busy }, |ran| ran.kinds[0]);
+    let with = sum(busy, |ran| ran.kinds[0]);
+    assert!(with.share() >= without.share() + 0.004, "{without:?}, {with:?}");
     assert!(f64::from(with.hedges) <= 0.08 * f64::from(with.calls), "{with:?}");
 }
+
+#[test]
+fn an_upstream_that_was_slow_for_a_moment_gets_calls_again() {
+    // Guards against the loss of the report of a slow moment: the attempt that would have
+    // brought it is cancelled when its hedged attempt answers first, and the upstream was
+    // avoided for many seconds. One that goes on giving no answer is still avoided.
+    let start = Instant::now();
+    let demand = Demand { kind: KIND, priority: Priority::NORMAL, objective: ms(400) };
+    let mut picker = Picker::new(Policy::ALL, HostKey(9));
+    let known = (0..2).map(|n| UpstreamInfo {
+        host: HostKey(n),
+        instance: format!("u{n}"),
+        // Without a difference the two would be chosen in turn.
+        locality: if n == 0 { Locality::SameHost } else { Locality::SameDomain },
+        slots: 8,
+        readiness: Readiness::Ready,
+        host_suspected: false,
+    });
+    picker.sync(known, start);
+    let pace = Some(PaceReport { per_cent: 100, age: ms(0) });
+    let report = LoadReport { pace, ..LoadReport::default() };
+    let answered = Outcome::Answered { service: ms(100), total: ms(105), report };
+    let mut now = start;
+    let choose = |picker: &Picker, now| picker.choose(demand, now, 0, &[]).expect("one").key;
+    let (own, other) = (UpstreamKey(0), UpstreamKey(1));
+    for n in 0..100 {
+        let key = if n % 2 == 0 { own } else { other };
+        picker.started(key);
+        picker.ended(key, demand, answered, now);
+    }
+    assert_eq!(choose(&picker, now), own);
+    let be_late = |picker: &mut Picker, now| {
+        picker.started(own);
+        picker.record_late(own, demand, ms(250), now);
+        picker.ended(own, demand, Outcome::Cancelled, now);
+    };
+    be_late(&mut picker, now);
+    assert_eq!(choose(&picker, now), other);
+    now += PACE_TTL;
+    assert_eq!(choose(&picker, now), own);
+    be_late(&mut picker, now);
+    now += PACE_TTL;
+    assert_eq!(choose(&picker, now), other);
+}
