--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -207,6 +207,7 @@
         "over-limit" => {
             "the upstream's own limit admits no further call in time; look for `names a limit`"
         }
+        "slow-host" => "the upstream's machine was slow at the moment, and another had a free slot",
         "link-busy" => {
             "the upstreams' hosts had no room on their links for a large answer in time; look at \
              links"
