Let the load model play swings, noise, organisations and calls in turn

The model could not follow a deployment whose runs make nested calls one after the other, whose service times and routes have bounds, whose callers belong to organisations or swing by failure domain, or whose upstreams are slow for moments. Deployment files can now say so; bursts can be of one kind, overlap, and be those of one organisation. Gates are fair between organisations where a file has them, as those of the daemon are, and between entry daemons elsewhere.

The summary tells runs lost to refused and to failed nested calls by service, callers that reached an upstream late or not at all, and the share earned by the worst tenth of the organisations.

Each new test compares a small deployment with and without one line.

--- a/crates/measure/src/load/caller.rs
+++ b/crates/measure/src/load/caller.rs
@@ -1,5 +1,6 @@
 //! Callers: they arrive, wait for an answer, disconnect, and retry when asked to.
 
+use super::arrivals::OrganisationId;
 use super::entry::Parent;
 use super::world::{CallerId, Event, HostId, KindId, RequestId, World};
 use std::time::Duration;
@@ -17,10 +18,13 @@
 pub struct Caller {
     pub kind: KindId,
     pub domain: usize,
+    pub organisation: Option<OrganisationId>,
     /// Host of the entry daemon that it is connected to.
     pub entry: HostId,
     /// Time of its first arrival.
     pub arrived_at: Duration,
+    /// Time at which a request of it first reached an upstream.
+    pub reached_at: Option<Duration>,
     /// Time at which it stops waiting.
     pub deadline: Duration,
     /// Retries left.
@@ -47,7 +51,7 @@
 impl World {
     /// Schedules the next caller of a kind in a failure domain.
     pub fn schedule_next_caller(&mut self, kind: KindId, domain: usize) {
-        let per_s = self.kinds[kind.0].1.per_s * self.burst_factor / self.deployment.domains as f64;
+        let per_s = self.arrivals_per_s(kind, domain);
         if per_s <= 0.0 {
             return;
         }
@@ -66,11 +70,14 @@
         let max_wait = Duration::from_secs_f64(spec.deadline_ms / 1e3 * deadline_share);
         let (share, retry_factor) = self.impatient;
         let impatient = self.rng.f64() < share;
+        let organisation = self.random_organisation();
         let caller = Caller {
             kind,
             domain,
+            organisation,
             entry,
             arrived_at: self.now(),
+            reached_at: None,
             deadline: self.now() + max_wait,
             retries: if impatient { (f64::from(retries) * retry_factor) as u32 } else { retries },
             impatient,
--- a/crates/measure/src/load/deployment.rs
+++ b/crates/measure/src/load/deployment.rs
@@ -4,7 +4,9 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::num::NonZeroUsize;
 use std::path::Path;
+use std::time::Duration;
 
 /// Upstreams, callers and faults of one run.
 #[derive(Clone, Debug, Deserialize)]
@@ -26,6 +28,10 @@
     /// microseconds. A call takes four messages, two at each end.
     #[serde(default)]
     pub message_us: f64,
+    /// How the number of callers changes by itself.
+    pub swing: Option<Swing>,
+    /// The organisations that callers belong to.
+    pub organisations: Option<Organisations>,
     /// Services by name.
     pub service: BTreeMap<String, Service>,
     /// Kinds of calls by name.
@@ -35,6 +41,29 @@
     pub trouble: Vec<Fault>,
 }
 
+/// A periodic change of the number of callers, in each failure domain at another time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Swing {
+    /// Largest change, as a share of the usual number.
+    pub by: f64,
+    /// Time from one peak to the next, in seconds.
+    pub period_s: f64,
+    /// Position of each failure domain in the period when a run begins, as a share of it.
+    pub phases: Vec<f64>,
+}
+
+/// The organisations of the callers. The largest one has a given share of the callers; the
+/// others share the rest in inverse proportion to their rank by size.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisations {
+    /// Number of organisations.
+    pub number: NonZeroUsize,
+    /// Share of the callers that belong to the largest one.
+    pub largest_share: f64,
+}
+
 /// One-way delays in milliseconds, including the work of the daemons at both ends.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -69,6 +98,20 @@
     /// Factor on the service times of a cold upstream.
     #[serde(default = "one")]
     pub cold_x: f64,
+    /// Slowness of upstreams that lasts for moments.
+    pub noise: Option<Noise>,
+}
+
+/// Some upstreams of a service are slow, and others after a moment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Noise {
+    /// Share of the upstreams that are slow at any time.
+    pub share: f64,
+    /// Factor on the service times of the calls that they begin meanwhile.
+    pub x: f64,
+    /// Time after which other upstreams are slow, in milliseconds.
+    pub every_ms: f64,
 }
 
 /// Calls of one kind.
@@ -90,10 +133,15 @@
     /// Factor on the service time of the calls in the tail; see `tail`.
     #[serde(default = "one")]
     pub tail_x: f64,
+    /// Longest service time at an upstream of speed one, in milliseconds; no bound if left out.
+    pub max_ms: Option<f64>,
     /// Time within which an answer has its full worth, in milliseconds.
     pub objective_ms: f64,
     /// Longest time that callers wait, in milliseconds.
     pub deadline_ms: f64,
+    /// Time after which an entry daemon gives up a call, in milliseconds; if left out, shortly
+    /// before its caller does.
+    pub timeout_ms: Option<f64>,
     /// Rank of the priority; zero is the most urgent.
     pub rank: u8,
     /// Whether a call may run twice.
@@ -112,8 +160,8 @@
     pub calls: Option<Nested>,
 }
 
-/// Nested calls of an upstream, all made at once at the end of its work. If one of them fails,
-/// the run fails and its work is wasted.
+/// Nested calls of an upstream, made at the end of its work. The run holds its slot until all
+/// are answered. If one of them fails, the run fails and its work is wasted.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Nested {
@@ -123,6 +171,10 @@
     pub times: u32,
     /// Share of the runs that make nested calls.
     pub share: f64,
+    /// Whether each nested call is made after the answer to the one before; all are made at
+    /// once if not.
+    #[serde(default)]
+    pub in_turn: bool,
 }
 
 /// A fault that lasts for some time.
@@ -137,6 +189,12 @@
     pub what: FaultKind,
     /// The service whose upstreams are affected; those of all services if left out.
     pub service: Option<String>,
+    /// The kind whose callers a `burst` affects; those of all kinds if left out.
+    pub kind: Option<String>,
+    /// The organisation that a `hot` fault affects, by its rank from zero; the largest if left
+    /// out.
+    #[serde(default)]
+    pub organisation: usize,
     /// Share of the upstreams that are affected; for `leave` and `impatient`, of the callers.
     #[serde(default = "one")]
     pub share: f64,
@@ -151,6 +209,8 @@
 pub enum FaultKind {
     /// `x` times as many new callers arrive.
     Burst,
+    /// `x` times as many new callers of one organisation arrive.
+    Hot,
     /// Upstreams refuse a share `x` of the calls, even with free slots.
     Refuse,
     /// Upstreams answer a share `x` of the calls with a failure.
@@ -177,8 +237,10 @@
     Unreadable(std::io::Error),
     /// The file is not valid TOML for a [`Deployment`].
     Malformed(toml::de::Error),
-    /// The file names a service or a kind that it does not define.
+    /// The file names a service, a kind or an organisation that it does not define.
     Unknown { what: &'static str, name: String },
+    /// A swing has no phase for some failure domain.
+    Phases,
     /// A service has no number of upstreams for some failure domain, or no speed.
     Domains { service: String },
 }
@@ -189,6 +251,7 @@
             DeploymentError::Unreadable(err) => write!(f, "cannot be read: {err}"),
             DeploymentError::Malformed(err) => write!(f, "{err}"),
             DeploymentError::Unknown { what, name } => write!(f, "no {what} named {name:?}"),
+            DeploymentError::Phases => write!(f, "swing: needs a phase for each domain"),
             DeploymentError::Domains { service } => {
                 write!(
                     f,
@@ -223,20 +286,40 @@
         for kind in self.kind.values() {
             self.check_service(&kind.service)?;
             if let Some(nested) = &kind.calls {
-                let exists = self.kind.contains_key(&nested.kind);
-                let unknown_kind =
-                    || DeploymentError::Unknown { what: "kind", name: nested.kind.clone() };
-                exists.then_some(()).ok_or_else(unknown_kind)?;
+                self.check_kind(&nested.kind)?;
             }
         }
-        let named = self.trouble.iter().filter_map(|fault| fault.service.as_ref());
-        named.into_iter().try_for_each(|service| self.check_service(service))
+        if self.swing.as_ref().is_some_and(|swing| swing.phases.len() != self.domains) {
+            return Err(DeploymentError::Phases);
+        }
+        self.trouble.iter().try_for_each(|fault| self.check_fault(fault))
+    }
+
+    fn check_fault(&self, fault: &Fault) -> Result<(), DeploymentError> {
+        if let Some(service) = &fault.service {
+            self.check_service(service)?;
+        }
+        if let Some(kind) = &fault.kind {
+            self.check_kind(kind)?;
+        }
+        let organisations = self.organisations.as_ref().map_or(0, |all| all.number.get());
+        match fault.what == FaultKind::Hot && fault.organisation >= organisations {
+            true => Err(unknown("organisation", &fault.organisation.to_string())),
+            false => Ok(()),
+        }
+    }
+
+    fn check_kind(&self, name: &str) -> Result<(), DeploymentError> {
+        match self.kind.contains_key(name) {
+            true => Ok(()),
+            false => Err(unknown("kind", name)),
+        }
     }
 
     fn check_service(&self, name: &str) -> Result<(), DeploymentError> {
         match self.service.contains_key(name) {
             true => Ok(()),
-            false => Err(DeploymentError::Unknown { what: "service", name: name.to_string() }),
+            false => Err(unknown("service", name)),
         }
     }
 }
@@ -246,6 +329,16 @@
     pub fn priority(&self) -> Priority {
         Priority(self.rank)
     }
+
+    /// Returns the time after which an entry daemon gives up a call, whatever its caller does.
+    pub fn timeout(&self) -> Duration {
+        let ms = self.timeout_ms.unwrap_or(self.deadline_ms);
+        Duration::from_secs_f64(ms / 1e3)
+    }
+}
+
+fn unknown(what: &'static str, name: &str) -> DeploymentError {
+    DeploymentError::Unknown { what, name: name.to_string() }
 }
 
 fn full_share() -> Vec<f64> {
--- a/crates/measure/src/load/entry.rs
+++ b/crates/measure/src/load/entry.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: the logic of `src/daemon/request/attempts`, without sockets.
 
+use super::arrivals::OrganisationId;
 use super::caller::End;
 use super::exit::{Stage, UpstreamAttempt};
 use super::world::{AttemptId, CallerId, Event, HostId, KindId, RequestId, World};
@@ -46,9 +47,10 @@
     pub kind: KindId,
     pub entry: HostId,
     pub parent: Parent,
+    pub organisation: Option<OrganisationId>,
     pub first_arrival: Duration,
     pub deadline: Duration,
-    /// When the caller stops waiting; the deadline is earlier by [`CALLER_MARGIN`].
+    /// When the caller stops waiting; the deadline is earlier by [`CALLER_MARGIN`] or more.
     caller_deadline: Duration,
     tried: Vec<UpstreamKey>,
     in_flight: Vec<AttemptId>,
@@ -79,12 +81,15 @@
         let earlier = returning.take_first_arrival(key, at).filter(|_| self.switches.returning);
         let first_arrival =
             earlier.map_or(now, |first| first.duration_since(self.instant(Duration::ZERO)));
+        let organisation = self.organisation_of(parent);
+        let timeout = self.kinds[kind.0].1.timeout();
         let request = Request {
             kind,
             entry,
             parent,
+            organisation,
             first_arrival,
-            deadline: caller_deadline.saturating_sub(CALLER_MARGIN),
+            deadline: caller_deadline.saturating_sub(CALLER_MARGIN).min(now + timeout),
             caller_deadline,
             tried: Vec::new(),
             in_flight: Vec::new(),
@@ -106,6 +111,13 @@
         id
     }
 
+    fn organisation_of(&self, parent: Parent) -> Option<OrganisationId> {
+        match parent {
+            Parent::Caller(caller) => self.callers[caller.0].organisation,
+            Parent::Run(run) => self.requests[self.attempts[run.0].request.0].organisation,
+        }
+    }
+
     pub(super) fn service_index_of_kind(&self, kind: KindId) -> usize {
         self.service_index(&self.kinds[kind.0].1.service)
     }
@@ -345,7 +357,7 @@
         }
         match parent {
             Parent::Caller(caller) => self.answer_caller(caller, end),
-            Parent::Run(run) => self.nested_call_ended(run, end == End::Served),
+            Parent::Run(run) => self.nested_call_ended(run, end),
         }
     }
 }
--- a/crates/measure/src/load/exit.rs
+++ b/crates/measure/src/load/exit.rs
@@ -1,7 +1,7 @@
 //! The exit daemon with its gate, and the upstream behind it.
 
 use super::caller::End;
-use super::entry::{AttemptResult, Parent};
+use super::entry::{AttemptResult, Parent, Request};
 use super::world::{AttemptId, Event, HostId, KindId, RequestId, World};
 use cicadashift_core::request::choose::{Demand, LoadReport, UpstreamKey};
 use cicadashift_core::request::gate::{
@@ -63,7 +63,7 @@
             deadline: self.instant(self.requests[request.0].deadline),
             objective: self.instant(objective.max(now)),
             priority: demand.priority,
-            caller: CallerKey(self.requests[request.0].entry.0 as u64),
+            caller: self.caller_key(request),
             kind: demand.kind,
             max_wait,
         };
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Returns the caller among which gates are fair: the organisation, or else the entry daemon.
+    fn caller_key(&self, request: RequestId) -> CallerKey {
+        let Request { entry, organisation, .. } = self.requests[request.0];
+        CallerKey(organisation.map_or(entry.0, |organisation| organisation.0) as u64)
+    }
+
     fn refuse(&mut self, attempt: AttemptId, retry_after: Duration, arrived: bool) {
         let report = self.load_report(attempt);
         self.send_result(attempt, AttemptResult::Refused { retry_after, arrived, report });
@@ -110,14 +116,16 @@
 
     /// Runs an attempt that the gate admitted, unless the upstream refuses it.
     fn start_run(&mut self, attempt: AttemptId, ticket: Ticket) {
-        let host = self.attempts[attempt.0].host;
+        let UpstreamAttempt { request, host, .. } = self.attempts[attempt.0];
+        self.record_reached(request);
         if self.rng.f64() < self.hosts[host.0].refuse_share {
             let retry_after = self.hosts[host.0].gate.mean_service_time();
             self.refuse(attempt, retry_after, true);
             return self.leave_gate(host, ticket, gate::End::Shed);
         }
         let since = self.now();
-        let kind = self.requests[self.attempts[attempt.0].request.0].kind;
+        self.tally.by_service[self.hosts[host.0].service].runs += 1;
+        let kind = self.requests[request.0].kind;
         let calls_left = match &self.kinds[kind.0].1.calls {
             Some(nested) if self.rng.f64() < nested.share => nested.times,
             _ => 0,
@@ -127,15 +135,22 @@
         self.schedule_work(attempt);
     }
 
-    fn make_nested_calls(&mut self, attempt: AttemptId, times: u32) {
+    /// Records that a caller's request has reached an upstream.
+    fn record_reached(&mut self, request: RequestId) {
+        let now = self.now();
+        if let Parent::Caller(caller) = self.requests[request.0].parent {
+            self.callers[caller.0].reached_at.get_or_insert(now);
+        }
+    }
+
+    /// Makes the nested calls of a run whose work is done; only the next one if they are made
+    /// in turn.
+    fn make_nested_calls(&mut self, attempt: AttemptId, calls_left: u32) {
         let UpstreamAttempt { request, host, .. } = self.attempts[attempt.0];
         let parent = self.requests[request.0].clone();
-        let nested = self.kinds[parent.kind.0].1.calls.clone();
-        let Some(kind) =
-            nested.and_then(|n| self.kinds.iter().position(|(name, _)| *name == n.kind))
-        else {
-            return;
-        };
+        let Some(spec) = self.kinds[parent.kind.0].1.calls.clone() else { return };
+        let Some(kind) = self.kinds.iter().position(|(name, _)| *name == spec.kind) else { return };
+        let times = if spec.in_turn { 1 } else { calls_left };
         let own_deadline = Duration::from_secs_f64(self.kinds[kind].1.deadline_ms / 1e3);
         let deadline = parent.deadline.min(self.now() + own_deadline);
         for _ in 0..times {
@@ -151,19 +166,28 @@
     }
 
     /// Handles the end of a nested call: the run ends with its last one or with a failed one.
-    pub(super) fn nested_call_ended(&mut self, attempt: AttemptId, served: bool) {
+    pub(super) fn nested_call_ended(&mut self, attempt: AttemptId, end: End) {
+        let UpstreamAttempt { request, host, .. } = self.attempts[attempt.0];
+        let calls = &self.kinds[self.requests[request.0].kind.0].1.calls;
+        let in_turn = calls.as_ref().is_some_and(|calls| calls.in_turn);
         let Stage::Running { ticket, calls_left, .. } = &mut self.attempts[attempt.0].stage else {
             return;
         };
         let ticket = *ticket;
-        if served {
+        if end == End::Served {
             *calls_left -= 1;
-            if *calls_left == 0 {
-                self.complete_run(attempt, ticket);
-            }
-            return;
+            return match *calls_left {
+                0 => self.complete_run(attempt, ticket),
+                calls_left if in_turn => self.make_nested_calls(attempt, calls_left),
+                _ => {}
+            };
         }
         self.tally.wasted_runs += 1;
+        let lost = &mut self.tally.by_service[self.hosts[host.0].service];
+        match end {
+            End::Refused(_) => lost.lost_to_refused_calls += 1,
+            _ => lost.lost_to_failed_calls += 1,
+        }
         self.finish_run(attempt, ticket, false);
     }
 
@@ -175,10 +199,12 @@
         let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
         let spread = (spec.spread * normal - spec.spread * spec.spread / 2.0).exp();
         let tail = if self.rng.f64() < spec.tail { spec.tail_x } else { 1.0 };
+        let usual_ms = (spec.work_ms * spread * tail).min(spec.max_ms.unwrap_or(f64::INFINITY));
         let state = &self.hosts[host.0];
-        let cold_x = self.services[state.service].1.cold_x;
-        let cold = if self.now() < state.cold_until { cold_x } else { 1.0 };
-        let ms = spec.work_ms * spread * tail * state.speed * state.slowdown * cold;
+        let service = &self.services[state.service].1;
+        let cold = if self.now() < state.cold_until { service.cold_x } else { 1.0 };
+        let noise = service.noise.as_ref().filter(|_| state.noisy).map_or(1.0, |noise| noise.x);
+        let ms = usual_ms * state.speed * state.slowdown * cold * noise;
         self.schedule(Duration::from_secs_f64(ms / 1e3), Event::WorkDone(attempt));
     }
 
--- a/crates/measure/src/load/mod.rs
+++ b/crates/measure/src/load/mod.rs
@@ -8,11 +8,14 @@
 //! # Limits
 //!
 //! Where a deployment sets no processor time per message, the time that daemons need is a
-//! constant part of the network delays. The size of messages has no effect. All daemons receive
-//! a change in membership at the same moment. There are no partitions between failure domains.
-//! Silent hosts are not modelled: an upstream that is down refuses connections.
+//! constant part of the network delays. The size of messages has no effect, and connections
+//! have no cost. All daemons receive a change in membership at the same moment. There are no
+//! partitions between failure domains, and no quotas of organisations. Silent hosts are not
+//! modelled: an upstream that is down refuses connections. Upstreams report their load, but
+//! not that they are slow for a moment.
 //! `docs/MEASUREMENTS.md` says how far the model ranks policies as played days do.
 
+mod arrivals;
 mod caller;
 mod deployment;
 mod entry;
@@ -93,6 +96,9 @@
     let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
     let squared_deviations = shares.iter().map(|share| (share - mean).powi(2)).sum::<f64>();
     let deviation = (squared_deviations / (shares.len().max(2) - 1) as f64).sqrt();
+    let worst: Vec<f64> = runs.iter().filter_map(Tally::worst_organisations).collect();
+    let worst_organisations =
+        (!worst.is_empty()).then(|| round(worst.iter().sum::<f64>() / worst.len() as f64));
     let mut runs = runs.into_iter();
     let Some(mut total) = runs.next() else { return Ok(json!({})) };
     runs.for_each(|run| total.merge(&run));
@@ -103,6 +109,7 @@
     summary["file"] = deployment_name(&options.file).into();
     summary["seeds"] = options.seeds.into();
     summary["without"] = options.without.clone().into();
+    summary["worst_organisations_mean"] = worst_organisations.into();
     summary["share_mean"] = round(mean).into();
     summary["share_deviation"] = round(deviation).into();
     Ok(summary)
--- a/crates/measure/src/load/world.rs
+++ b/crates/measure/src/load/world.rs
@@ -1,7 +1,7 @@
 //! State, virtual clock and event queue of one run.
 
 use super::Switches;
-use super::deployment::{Deployment, Fault, FaultKind, Kind, Service};
+use super::deployment::{Deployment, Fault, FaultKind, Kind, Organisations, Service};
 use super::tally::Tally;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::Readiness;
@@ -65,6 +65,8 @@
     CallerLeaves(RequestId),
     /// A daemon checks its queue.
     Tick(HostId),
+    /// Other upstreams of the service with this index become slow for a moment.
+    Noise(usize),
     /// A fault begins or ends.
     Fault { index: usize, begins: bool },
     /// A started upstream is announced.
@@ -133,6 +135,8 @@
     pub lose_share: f64,
     /// Factor on the service times, set by faults.
     pub slowdown: f64,
+    /// Whether the upstream is slow for a moment, as its service's noise says.
+    pub noisy: bool,
     /// Load balancers and retry budgets of the entry daemon, by service.
     pub pickers: Vec<Picker>,
     pub budgets: Vec<RetryBudget>,
@@ -151,8 +155,10 @@
     pub attempts: Vec<super::exit::UpstreamAttempt>,
     pub tally: Tally,
     pub rng: fastrand::Rng,
-    /// Factor on the number of new callers.
-    pub burst_factor: f64,
+    /// Share of the callers that belongs to each organisation without faults.
+    pub organisations: Vec<f64>,
+    /// Whether each fault of the deployment lasts at this time.
+    pub active_faults: Vec<bool>,
     /// Share of the callers that disconnect after half of their objective.
     pub leave_share: f64,
     /// Share of impatient callers, and the factor on the retries that they make.
@@ -169,7 +175,9 @@
     pub fn new(deployment: Deployment, switches: Switches, seed: u64) -> World {
         let kinds: Vec<_> = deployment.kind.clone().into_iter().collect();
         let services: Vec<_> = deployment.service.clone().into_iter().collect();
-        let tally = Tally::new(&kinds, deployment.domains, deployment.seconds);
+        let organisations =
+            deployment.organisations.as_ref().map_or_else(Vec::new, Organisations::shares);
+        let tally = Tally::new(&kinds, &services, &deployment);
         let mut world = World {
             switches,
             kinds,
@@ -180,7 +188,8 @@
             attempts: Vec::new(),
             tally,
             rng: fastrand::Rng::with_seed(seed),
-            burst_factor: 1.0,
+            organisations,
+            active_faults: vec![false; deployment.trouble.len()],
             leave_share: 0.0,
             impatient: (0.0, 1.0),
             base: Instant::now(),
@@ -310,6 +319,7 @@
                     fail_share: 0.0,
                     lose_share: 0.0,
                     slowdown: 1.0,
+                    noisy: false,
                     pickers: Vec::new(),
                     budgets: Vec::new(),
                     returning: ReturningCallers::default(),
@@ -333,6 +343,9 @@
         for host in 0..self.hosts.len() {
             self.schedule(GATE_TICK, Event::Tick(HostId(host)));
         }
+        for service in 0..self.services.len() {
+            self.schedule(Duration::ZERO, Event::Noise(service));
+        }
         for index in 0..self.deployment.trouble.len() {
             let Fault { at_s, for_s, .. } = self.deployment.trouble[index];
             let (begin, end) =
@@ -354,6 +367,7 @@
             Event::Deadline(request) => self.deadline_passed(request),
             Event::CallerLeaves(request) => self.caller_leaves(request),
             Event::Tick(host) => self.tick(host),
+            Event::Noise(service) => self.change_noise(service),
             Event::Fault { index, begins } => self.apply_fault(index, begins),
             Event::UpstreamAnnounced(host) => self.announce(host),
             Event::MembershipUpdate => self.update_membership(),
@@ -367,11 +381,24 @@
         self.schedule(GATE_TICK, Event::Tick(host));
     }
 
+    /// Draws the upstreams of a service that are slow until the next change.
+    fn change_noise(&mut self, service: usize) {
+        let Some(noise) = self.services[service].1.noise.clone() else { return };
+        let of_service = |host: &usize| self.hosts[*host].service == service;
+        let hosts: Vec<usize> = (0..self.hosts.len()).filter(of_service).collect();
+        let slow = (hosts.len() as f64 * noise.share).round() as usize;
+        let chosen = self.rng.choose_multiple(hosts.iter().copied(), slow);
+        hosts.into_iter().for_each(|host| self.hosts[host].noisy = chosen.contains(&host));
+        let wait = Duration::from_secs_f64(noise.every_ms / 1e3);
+        self.schedule(wait, Event::Noise(service));
+    }
+
     fn apply_fault(&mut self, index: usize, begins: bool) {
         let fault = self.deployment.trouble[index].clone();
         let x = fault.x;
+        self.active_faults[index] = begins;
         match fault.what {
-            FaultKind::Burst => self.burst_factor = if begins { x } else { 1.0 },
+            FaultKind::Burst | FaultKind::Hot => {}
             FaultKind::Leave => self.leave_share = if begins { fault.share } else { 0.0 },
             FaultKind::Impatient => {
                 self.impatient = if begins { (fault.share, x) } else { (0.0, 1.0) }
