Charge the load model's daemons for the nested calls of a run

A call is four messages, two at each end, but the request of a nested call cost its entry daemon nothing, since only callers' requests did. With the end of a run's work its daemon now processes one message for each nested call, beside that with the answer.

--- a/crates/measure/src/load/exit.rs
+++ b/crates/measure/src/load/exit.rs
@@ -26,6 +26,16 @@
     Ended,
 }
 
+impl Stage {
+    /// Returns the number of nested calls that are not answered yet.
+    pub fn calls_left(&self) -> u32 {
+        match self {
+            Stage::Running { calls_left, .. } => *calls_left,
+            _ => 0,
+        }
+    }
+}
+
 /// One attempt of a request at an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamAttempt {
--- a/crates/measure/src/load/world.rs
+++ b/crates/measure/src/load/world.rs
@@ -246,8 +246,8 @@
         self.queue.push(Reverse(due));
     }
 
-    /// Returns the time until a daemon has processed a message, in order of arrival; `None` for
-    /// an event that takes no processor time.
+    /// Returns the time until a daemon has processed the messages of an event, in order of
+    /// arrival; `None` for an event that takes no processor time.
     fn processor_time(&mut self, due: &ScheduledEvent) -> Option<Duration> {
         let message = Duration::from_secs_f64(self.deployment.message_us / 1e6);
         if due.is_processed || message.is_zero() {
@@ -261,9 +261,15 @@
             }
             _ => return None,
         };
+        // The nested calls of a run are messages of its daemon, beside that with its answer.
+        let messages = match due.event {
+            Event::WorkDone(attempt) => 1 + self.attempts[attempt.0].stage.calls_left(),
+            _ => 1,
+        };
         let now = self.now;
         let host = &mut self.hosts[daemon.0];
-        let done = host.processor_free_at.max(now) + message.div_f64(host.processor_share);
+        let done =
+            host.processor_free_at.max(now) + (message * messages).div_f64(host.processor_share);
         host.processor_free_at = done;
         Some(done - now)
     }
