Close a simulated instance's port before its connections

Seen: crashing::daemons_that_were_frozen_or_down_receive_the_quarantine failed in 1 of 12 runs of the file beside 4 busy processes and builds ("0" at crashing.rs:335: the first daemon does not refuse the request). By its logs the first of the two ends was never found: the call broke at i-0, `upstream-broke` and not `upstream-ended`, so that its address still accepted connections 15 ms after it had closed that of the call. Only one end counted, and the next call ended a third instance.

Cause: the test's stand-in. The relay dropped the tasks of its port and of its connections together, and a dropped task closes its sockets when the executor comes to it, in any order on a busy host. Besides, a connection accepted in that moment was kept over the crash. A process that ends does neither: the rule that a refused connection tells an end stays as it is.

Change: the port is closed, and waited for, before the connections are. No check is changed. The test of calls that reached no upstream waits until the ports are closed.

--- a/crates/testkit/src/hosted/front.rs
+++ b/crates/testkit/src/hosted/front.rs
@@ -1,5 +1,5 @@
 //! A TCP relay in front of an instance, which simulates the end of its process by closing
-//! its port and all its connections at the same time.
+//! its port and all its connections.
 
 use cicadashift_http::exec;
 use smol::io::copy;
@@ -12,8 +12,10 @@
     /// The address at which the instance is reached.
     pub addr: SocketAddr,
     server: SocketAddr,
-    /// The accept task and one task for each connection. Dropping a task closes its sockets.
-    tasks: Arc<Mutex<Vec<Task<()>>>>,
+    /// The task that owns the listening socket, while the port is open.
+    accept_task: Mutex<Option<Task<()>>>,
+    /// One task for each connection. Dropping a task closes its sockets.
+    connections: Arc<Mutex<Vec<Task<()>>>>,
 }
 
 impl Relay {
@@ -25,15 +27,24 @@
     pub fn start(server: SocketAddr) -> Relay {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
         let addr = listener.get_ref().local_addr().expect("a bound socket has an address");
-        let relay = Relay { addr, server, tasks: Arc::default() };
+        let relay =
+            Relay { addr, server, accept_task: Mutex::default(), connections: Arc::default() };
         relay.listen(listener);
         relay
     }
 
-    /// Closes the port and all connections at the same time.
-    pub fn close(&self) {
-        let tasks = std::mem::take(&mut *lock(&self.tasks));
-        drop(tasks);
+    /// Closes the port, then all connections.
+    ///
+    /// A task that is dropped closes its sockets only when the executor comes to it. If the
+    /// port were closed like the connections, it would accept connections for a while after
+    /// calls broke, on a busy host: that of a process which ended does not.
+    pub async fn close(&self) {
+        let accept_task = lock(&self.accept_task).take();
+        if let Some(task) = accept_task {
+            task.cancel().await;
+        }
+        let connections = std::mem::take(&mut *lock(&self.connections));
+        drop(connections);
     }
 
     /// Listens again on the same address.
@@ -47,17 +58,17 @@
     }
 
     fn listen(&self, listener: Async<TcpListener>) {
-        let (server, tasks) = (self.server, Arc::downgrade(&self.tasks));
+        let (server, connections) = (self.server, Arc::downgrade(&self.connections));
         let accept_task = exec::spawn(async move {
             while let Ok((inbound, _)) = listener.accept().await {
                 let connection = exec::spawn(relay_connection(inbound, server));
-                match tasks.upgrade() {
-                    Some(tasks) => lock(&tasks).push(connection),
+                match connections.upgrade() {
+                    Some(connections) => lock(&connections).push(connection),
                     None => return,
                 }
             }
         });
-        lock(&self.tasks).push(accept_task);
+        *lock(&self.accept_task) = Some(accept_task);
     }
 }
 
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -17,7 +17,7 @@
 use serde_json::json;
 use smol::Async;
 use smol::stream::StreamExt;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -308,6 +308,11 @@
         self.shared.crash();
     }
 
+    /// Returns whether the port is closed, as after a crash.
+    pub async fn refuses_connections(&self) -> bool {
+        Async::<TcpStream>::connect(self.addr).await.is_err()
+    }
+
     /// Returns the caller's service and the deadline of each executed request.
     pub fn caller_headers(&self) -> Vec<(String, String)> {
         lock(&self.shared.caller_headers).clone()
@@ -331,16 +336,16 @@
 }
 
 impl Shared {
-    /// Simulates the end of the process: stops heartbeats and closes the port and all
+    /// Simulates the end of the process: stops heartbeats, and closes the port and then all
     /// connections.
     fn crash(self: &Arc<Self>) {
         if !std::mem::replace(&mut *lock(&self.sends_heartbeats), false) {
             return;
         }
-        self.relay.close();
         let crashes = self.crashes.fetch_add(1, Ordering::Relaxed) + 1;
         let shared = self.clone();
         exec::spawn(async move {
+            shared.relay.close().await;
             smol::Timer::after(RESTART_DELAY).await;
             let id = lock(&shared.id).split('.').next().unwrap_or_default().to_string();
             *lock(&shared.id) = format!("{id}.{crashes}");
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -278,6 +278,10 @@
     run(async {
         let fleet = serving(4).await;
         fleet.daemons[..2].iter().for_each(|node| node.instance.crash());
+        for node in &fleet.daemons[..2] {
+            let is_closed = async |_: &HostedFleet| node.instance.refuses_connections().await;
+            assert!(fleet.wait(is_closed).await, "the port is closed");
+        }
         let calls: Vec<_> = (0..16)
             .map(|n| {
                 let caller = fleet.caller(n % 2);
