Test both memories of in-band signals beside an upstream without health

No test missed two safeguards: that an exit daemon adopts the limit which an entry daemon remembers, and that an entry daemon remembers who leaves. In the tests that were there, a daemon that starts again learns both from the answer to its health request. Both are needed where the upstream does not answer that request.

Stand-in instances can leave health requests unanswered.

--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -99,6 +99,7 @@
     /// The requests that were addressed to this instance.
     arrivals: Mutex<Vec<Arrival>>,
     sends_heartbeats: Mutex<bool>,
+    answers_health: Mutex<bool>,
     sequence: AtomicU64,
     /// Start time, in Unix milliseconds by the clock of the instance.
     start_ms: AtomicU64,
@@ -145,6 +146,7 @@
             leaving: Mutex::default(),
             arrivals: Mutex::default(),
             sends_heartbeats: Mutex::new(true),
+            answers_health: Mutex::new(true),
             sequence: AtomicU64::new(0),
             start_ms: AtomicU64::new(1),
             ledger,
@@ -224,6 +226,11 @@
         *lock(&self.shared.sends_heartbeats) = sends_heartbeats;
     }
 
+    /// Lets health requests go unanswered, or answers them again.
+    pub fn set_health_answers(&self, answers_health: bool) {
+        *lock(&self.shared.answers_health) = answers_health;
+    }
+
     /// Replaces the instance by another one at the same address, without a report to the
     /// daemon.
     pub fn replace_id(&self, id: &str) {
@@ -394,7 +401,11 @@
 async fn answer(shared: &Arc<Shared>, req: Request<Body>) -> Response<Body> {
     let own = lock(&shared.id).clone();
     if req.uri().path() == "/health" {
-        return health(shared, &own);
+        let answers_health = *lock(&shared.answers_health);
+        return match answers_health {
+            true => health(shared, &own),
+            false => std::future::pending().await,
+        };
     }
     let (head, incoming) = req.into_parts();
     let text = |name: &str| {
--- a/tests/named_limits.rs
+++ b/tests/named_limits.rs
@@ -131,6 +131,44 @@
     });
 }
 
+/// Restarts a daemon beside the only upstream that accepts calls, and waits until the second
+/// daemon knows of the upstream again.
+async fn restart_beside_upstream(fleet: &mut HostedFleet, i: usize) {
+    fleet.kill(i);
+    fleet.restart(i);
+    let ready = fleet.wait(async |fleet| fleet.is_ready(i).await).await;
+    assert!(ready, "{}", fleet.log(i));
+    let announced = fleet.wait(async |fleet| fleet.sees_instances(i, 1).await).await;
+    assert!(announced, "{}", fleet.log(i));
+    let known = fleet.wait(async |fleet| fleet.sees_instances(1, 1).await).await;
+    assert!(known, "{}", fleet.log(1));
+}
+
+#[test]
+fn an_exit_daemon_that_restarted_adopts_the_limit_that_another_daemon_knows() {
+    // Guards against an exit daemon that has lost the limit in a restart, cannot learn it from
+    // an answer to a health request, and sends all calls that arrive before the first answer.
+    run(async {
+        let mut fleet = serving_by_first_only(2).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        instance.set_health_answers(false);
+        instance.name_limit(Some("1"));
+        call_daemon(&fleet, 1, Instant::now() + Duration::from_millis(1500)).await;
+        instance.set_service_time(Duration::from_secs(1));
+        restart_beside_upstream(&mut fleet, 0).await;
+        let before = instance.arrivals().len();
+        let ids: Vec<String> = (0..9).map(|n| format!("first-{n}")).collect();
+        fleet.statuses(1, "/notices/1", &ids).await;
+        let together = instance.arrivals().len() - before;
+        assert!(together <= 2, "{together} of {}: {}", ids.len(), fleet.log(0));
+        let served = fleet.wait(async |fleet| {
+            call_daemon(fleet, 1, Instant::now() + Duration::from_millis(200)).await;
+            instance.arrivals().len() > before
+        });
+        assert!(served.await, "{}", fleet.log(0));
+    });
+}
+
 #[test]
 fn a_limit_that_is_taken_back_is_gone_at_once() {
     // Guards against a limit that still applies after answers no longer name it, and against
@@ -204,6 +242,31 @@
     });
 }
 
+#[test]
+fn a_leaving_signal_outlives_a_restart_of_the_exit_daemon() {
+    // Guards against an entry daemon that forgets the leaving signal: the upstream reports
+    // itself as ready and answers no health request, and the daemon beside it, which has lost
+    // the signal in a restart, learns it again only from the answer to a further call.
+    run(async {
+        let mut fleet = serving_by_first_only(3).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        instance.set_health_answers(false);
+        instance.signal_leaving();
+        let before = instance.arrivals().len();
+        call_daemon(&fleet, 1, Instant::now() + Duration::from_millis(700)).await;
+        assert!(instance.arrivals().len() > before, "no answer carried the leaving signal");
+        smol::Timer::after(DRAIN_TIME).await;
+        let before = instance.arrivals().len();
+        fleet.kill(0);
+        fleet.restart(0);
+        let announced =
+            fleet.wait(async |fleet| fleet.own_status(0).await["upstreams"][0].is_object());
+        assert!(announced.await, "{}", fleet.log(0));
+        call_daemon(&fleet, 1, Instant::now() + Duration::from_secs(3)).await;
+        assert_eq!(instance.arrivals().len(), before);
+    });
+}
+
 #[test]
 fn an_upstream_that_starts_again_takes_work_after_it_left() {
     // Guards against a remembered leaving signal that is also applied to the next incarnation
