--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -17,7 +17,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use serde_json::json;
 use smol::stream::StreamExt;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -120,6 +120,7 @@
     /// The requests that were addressed to this instance.
     arrivals: Mutex<Vec<Arrival>>,
     sends_heartbeats: Mutex<bool>,
+    answers_health: Mutex<bool>,
     sequence: AtomicU64,
     /// Start time, in Unix milliseconds by the clock of the instance.
     start_ms: AtomicU64,
@@ -170,6 +171,7 @@
             leaving: Mutex::default(),
             arrivals: Mutex::default(),
             sends_heartbeats: Mutex::new(true),
+            answers_health: Mutex::new(true),
             sequence: AtomicU64::new(0),
             start_ms: AtomicU64::new(1),
             ledger,
@@ -265,6 +267,11 @@
         *lock(&self.shared.sends_heartbeats) = sends_heartbeats;
     }
 
+    /// Lets health requests go unanswered, or answers them again.
+    pub fn set_health_answers(&self, answers_health: bool) {
+        *lock(&self.shared.answers_health) = answers_health;
+    }
+
     /// Replaces the instance by another one at the same address, without a report to the
     /// daemon.
     pub fn replace_id(&self, id: &str) {
@@ -349,6 +356,11 @@
         self.shared.crash();
     }
 
+    /// Returns whether the port is closed, as after a crash.
+    pub async fn refuses_connections(&self) -> bool {
+        Async::<TcpStream>::connect(self.addr).await.is_err()
+    }
+
     /// Returns the caller's service and the deadline of each executed request.
     pub fn caller_headers(&self) -> Vec<(String, String)> {
         lock(&self.shared.caller_headers).clone()
@@ -372,16 +384,16 @@
 }
 
 impl Shared {
-    /// Simulates the end of the process: stops heartbeats and closes the port and all
+    /// Simulates the end of the process: stops heartbeats, and closes the port and then all
     /// connections.
     fn crash(self: &Arc<Self>) {
         if !std::mem::replace(&mut *lock(&self.sends_heartbeats), false) {
             return;
         }
-        self.relay.close();
         let crashes = self.crashes.fetch_add(1, Ordering::Relaxed) + 1;
         let shared = self.clone();
         exec::spawn(async move {
+            shared.relay.close().await;
             smol::Timer::after(RESTART_DELAY).await;
             let id = lock(&shared.id).split('.').next().unwrap_or_default().to_string();
             *lock(&shared.id) = format!("{id}.{crashes}");
@@ -439,7 +451,11 @@
 async fn answer(shared: &Arc<Shared>, req: Request<Body>) -> Response<Body> {
     let own = lock(&shared.id).clone();
     if req.uri().path() == "/health" {
-        return health(shared, &own);
+        let answers_health = *lock(&shared.answers_health);
+        return match answers_health {
+            true => health(shared, &own),
+            false => std::future::pending().await,
+        };
     }
     let (head, incoming) = req.into_parts();
     let text = |name: &str| {
