--- a/src/daemon/dependencies.rs
+++ b/src/daemon/dependencies.rs
@@ -197,9 +197,8 @@
 
 /// Returns whether a load report has all figures, the pace being the last.
 pub fn names_pace(report: &str) -> bool {
-    let figures: Option<Vec<u64>> =
-        report.split(',').map(|figure| figure.trim().parse().ok()).collect();
-    figures.is_some_and(|figures| figures.len() == FIGURES_WITH_PACE)
+    let is_number = |figure: &str| figure.trim().parse().is_ok_and(f64::is_finite);
+    report.split(',').all(is_number) && report.split(',').count() == FIGURES_WITH_PACE
 }
 
 fn is_active(d: &Daemon, local: &LocalUpstream) -> bool {
