Take an ended upstream out of use before its calls are known

The wait for the calls in flight, up to 100 ms where one does not break, stood before the removal of the upstream, so that calls were sent there for as long. The removal needs none of them and comes first, as it did before the wait was there. Found by reading.

--- a/src/daemon/gates/ended.rs
+++ b/src/daemon/gates/ended.rs
@@ -82,6 +82,7 @@
         return false;
     }
     *last = LastCheck::Ended;
+    d.gates.remove_lost(d, &local.name);
     wait_for_broken_calls(local).await;
     let mut calls = local.in_flight();
     calls.extend(local.abandoned(d.clock.now()));
@@ -89,7 +90,6 @@
     d.metrics.incr("upstream.ended");
     log::warn!("upstream {} ended, {} calls at it: {}", local.name, names.len(), names.join(" "));
     quarantine::record_end(d, &local.name, &calls);
-    d.gates.remove_lost(d, &local.name);
     true
 }
 
