Decide by one load report, and for organisations too

Change: the report is parsed once (in core), a pace may have a fraction; both decisions hold where the configuration has organisations, or upstreams report a pace. The test of the second parser went with it; its cases are in uneven::load_reports_have_three_or_four_figures.

--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -102,18 +102,22 @@
 }
 
 impl UpstreamLoad {
-    /// Parses three or four figures, separated by commas; `None` if they are anything else.
+    /// Parses three or four figures, separated by commas; `None` if they are anything else. The
+    /// pace may have a fraction.
     pub fn parse(text: &str) -> Option<UpstreamLoad> {
-        let figures: Option<Vec<u16>> =
-            text.split(',').map(|figure| figure.trim().parse().ok()).collect();
-        match figures?[..] {
-            [running, waiting, slots] if slots > 0 => {
-                Some(UpstreamLoad { running, waiting, slots, pace: None })
-            }
-            [running, waiting, slots, pace] if slots > 0 && pace > 0 => {
-                Some(UpstreamLoad { running, waiting, slots, pace: Some(pace) })
-            }
-            _ => None,
-        }
+        let mut figures = text.split(',').map(str::trim);
+        let mut count = || figures.next()?.parse::<u16>().ok();
+        let (running, waiting, slots) = (count()?, count()?, count()?);
+        let pace = match figures.next() {
+            None => None,
+            Some(figure) => Some(parse_pace(figure)?),
+        };
+        let is_valid = slots > 0 && figures.next().is_none();
+        is_valid.then_some(UpstreamLoad { running, waiting, slots, pace })
     }
 }
+
+fn parse_pace(figure: &str) -> Option<u16> {
+    let per_cent = figure.parse::<f64>().ok()?.round();
+    (1.0..=f64::from(u16::MAX)).contains(&per_cent).then_some(per_cent as u16)
+}
--- a/crates/core/tests/uneven.rs
+++ b/crates/core/tests/uneven.rs
@@ -79,7 +79,19 @@
     let load = |pace| UpstreamLoad { running: 3, waiting: 0, slots: 8, pace };
     assert_eq!(UpstreamLoad::parse("3,0,8"), Some(load(None)));
     assert_eq!(UpstreamLoad::parse("3, 0, 8, 250"), Some(load(Some(250))));
-    for bad in ["", "3,0", "3,0,8,250,1", "3,0,0", "3,0,8,0", "3,0,8,x", "3,0,-8", "3,0,8,70000"] {
+    assert_eq!(UpstreamLoad::parse("3, 0, 8, 97.5"), Some(load(Some(98))));
+    for bad in [
+        "",
+        "3,0",
+        "3,0,8,",
+        "3,0,8,NaN",
+        "3,0,8,250,1",
+        "3,0,0",
+        "3,0,8,0",
+        "3,0,8,x",
+        "3,0,-8",
+        "3,0,8,70000",
+    ] {
         assert_eq!(UpstreamLoad::parse(bad), None, "{bad}");
     }
 }
--- a/src/daemon/dependencies.rs
+++ b/src/daemon/dependencies.rs
@@ -28,8 +28,6 @@
 
 /// Reason of the refusals by a kind's level.
 pub const DEPENDENCY: &str = "dependency";
-/// Numbers in an upstream's load report that names its pace.
-const FIGURES_WITH_PACE: usize = 4;
 
 /// What this daemon knows of nested calls. One lock is held at a time.
 #[derive(Default)]
@@ -195,14 +193,8 @@
     pub is_nested: bool,
 }
 
-/// Returns whether a load report has all figures, the pace being the last.
-pub fn names_pace(report: &str) -> bool {
-    let is_number = |figure: &str| figure.trim().parse().is_ok_and(f64::is_finite);
-    report.split(',').all(is_number) && report.split(',').count() == FIGURES_WITH_PACE
-}
-
 fn is_active(d: &Daemon, local: &LocalUpstream) -> bool {
-    d.settings.load.dependencies && local.reports_pace()
+    d.settings.load.dependencies && (local.reports_pace() || d.has_organisations())
 }
 
 /// Returns whether a refused nested call may have led to this status of its parent.
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -122,12 +122,12 @@
         }
     }
 
-    /// Records whether a load report of the upstream has its pace.
-    pub fn observe_load_report(&self, has_pace: bool) {
-        self.reports_pace.store(has_pace, Ordering::Relaxed);
+    /// Records whether the upstream's load report has the pace of its machine.
+    pub fn set_reports_pace(&self, reports_pace: bool) {
+        self.reports_pace.store(reports_pace, Ordering::Relaxed);
     }
 
-    /// Returns whether the last load report of the upstream had its pace.
+    /// Returns whether the last load report of the upstream had the pace of its machine.
     pub fn reports_pace(&self) -> bool {
         self.reports_pace.load(Ordering::Relaxed)
     }
--- a/src/daemon/in_band.rs
+++ b/src/daemon/in_band.rs
@@ -111,6 +111,7 @@
 fn apply_load(d: &Daemon, local: &LocalUpstream, load: LoadSignal) {
     match load {
         LoadSignal::Reported(load) => {
+            local.set_reports_pace(load.pace.is_some());
             let pace = load.pace.filter(|_| d.settings.load.pace);
             if let Some(per_cent) = pace {
                 local.observe_machine(MachinePace::new(per_cent, d.clock.now()));
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -455,6 +455,12 @@
         stops_at.map_or(deadline, |at| at.min(deadline))
     }
 
+    /// Returns whether the configuration in force has organisations, whose calls compete for the
+    /// same upstreams.
+    pub fn has_organisations(&self) -> bool {
+        self.versions.running().table.organisations.is_some()
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -109,7 +109,7 @@
         Some(account) => route.priority.within(account.priority),
         None => route.priority,
     };
-    if is_throttled_service(d, &route)
+    if may_throttle(d, &running.table, &route)
         && let Err(wait) = d.throttles.admit(KindKey(kind), priority, started)
     {
         expect_return(d, kind, first_arrival, caller_deadline);
@@ -278,11 +278,13 @@
     res
 }
 
-/// Returns whether calls of a route are throttled here: where upstreams report the pace of their
-/// machines.
-fn is_throttled_service(d: &Daemon, route: &Route) -> bool {
+/// Returns whether calls of a route are throttled here: where organisations compete for the
+/// upstreams, or these report the pace of their machines.
+fn may_throttle(d: &Daemon, table: &RoutingTable, route: &Route) -> bool {
     let reports_pace = |service: &mut Service| service.picker.reports_pace();
-    d.settings.load.throttle && d.services.with(&route.service, reports_pace).unwrap_or(false)
+    d.settings.load.throttle
+        && (table.organisations.is_some()
+            || d.services.with(&route.service, reports_pace).unwrap_or(false))
 }
 
 /// Refuses a call of a kind that hosts have no room for; see
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -10,7 +10,7 @@
 use crate::daemon::gates::ended;
 use crate::daemon::gates::local::{LocalUpstream, SlotPermit};
 use crate::daemon::in_band::{self, Signals};
-use crate::daemon::{Daemon, dependencies, lock, quarantine};
+use crate::daemon::{Daemon, lock, quarantine};
 use crate::logging::{DecisionClass, rate_limited_decision};
 use cicadashift_core::request::gate::pace::NamedLimit;
 use cicadashift_core::request::gate::{Arrival, CallerKey, End, KindKey, Refusal};
@@ -260,11 +260,6 @@
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         in_band::apply(d, local, Signals::of(d, &head.headers), started);
-        let report =
-            d.dialect.load.as_ref().and_then(|name| headers::text(&head.headers, name.as_str()));
-        if let Some(report) = report {
-            local.observe_load_report(dependencies::names_pace(report));
-        }
     }
     if let Some(res) = refusal_of_upstream(d, cx, &head, local) {
         permit.end(End::Shed, d.clock.now());
--- a/tests/dependency.rs
+++ b/tests/dependency.rs
@@ -3,7 +3,6 @@
 
 mod common;
 
-use cicadashift::daemon::dependencies::names_pace;
 use cicadashift_http::exec;
 use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::fleet::{HOST, HostedFleet};
@@ -104,18 +103,6 @@
     fleet
 }
 
-#[test]
-fn only_a_load_report_of_four_numbers_names_a_pace() {
-    // Failure: another report is taken for one with a pace, or the other way round. Symptom:
-    // calls are refused for services that did not ask for it, or never.
-    for report in ["3,0,8,140", "3, 0, 8, 97.5"] {
-        assert!(names_pace(report), "{report}");
-    }
-    for report in ["", "3,0,8", "3,0,8,", "3,0,8,140,1", "3,0,8,fast", "3,0,8,NaN"] {
-        assert!(!names_pace(report), "{report}");
-    }
-}
-
 #[test]
 fn callers_are_refused_before_runs_that_would_be_thrown_away() {
     // Failure: the called service is full for seconds, and runs of the calling service are
