Hand over the right to poll at one place

Cause: a thread that ends had two hand-overs, before its own future is polled and when it ends.

Change: only the first stays.

--- a/crates/http/src/reactor/drive.rs
+++ b/crates/http/src/reactor/drive.rs
@@ -131,19 +131,9 @@
     }
 }
 
-/// Lets another thread poll when this one ends, also by a panic.
-struct HandOver;
-
-impl Drop for HandOver {
-    fn drop(&mut self) {
-        REACTOR.hand_over();
-    }
-}
-
 /// Runs a future to completion on the calling thread, which meanwhile also runs the
 /// executor's tasks and polls the reactor.
 pub(crate) fn drive<T>(executor: &Executor<'static>, main: impl Future<Output = T>) -> T {
-    let _hand_over = HandOver;
     let driver = Arc::new(Driver::new());
     let main_waker = Waker::from(Arc::new(MainWaker(driver.clone())));
     let tasks_waker = Waker::from(Arc::new(TasksWaker(driver.clone())));
@@ -152,8 +142,8 @@
     loop {
         driver.state.store(RUNNING, Ordering::SeqCst);
         if driver.is_main_woken.swap(false, Ordering::SeqCst) {
-            // The future may block this thread, as those of tests do: another one polls
-            // then, and the executor tells another one of tasks.
+            // The future may end, or block this thread as those of tests do: another one
+            // polls then, and the executor tells another one of tasks.
             REACTOR.hand_over();
             tasks.set(run_tasks(executor));
             driver.are_tasks_woken.store(true, Ordering::SeqCst);
