--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -48,6 +48,8 @@
         optional --fault fault: String
         /// path: calls a second.
         optional --rate n: u64
+        /// path: threads of each daemon.
+        optional --threads n: usize
         /// path: the daemons do not log their decisions.
         optional --quiet
         /// policy: offered load as a share of capacity, in percent.
@@ -76,6 +78,8 @@
     pub load: u64,
     /// Changes to accept.
     pub changes: usize,
+    /// Threads of each daemon, if not the default.
+    pub threads: Option<usize>,
     /// Whether the daemons do not log their decisions.
     pub quiet: bool,
     /// The decision of the daemons' choice of upstreams to switch off.
@@ -130,6 +134,7 @@
         rate: flags.rate.unwrap_or(500),
         load: flags.load.unwrap_or(70),
         changes: flags.changes.unwrap_or(10),
+        threads: flags.threads,
         quiet: flags.quiet,
         without: flags.without,
     };
--- a/crates/measure/src/path.rs
+++ b/crates/measure/src/path.rs
@@ -28,6 +28,7 @@
     let daemons = options.daemons.unwrap_or(3);
     let mut spec = Spec::small(options.program.clone(), &["a"], daemons);
     spec.decisions = !options.quiet;
+    spec.threads = options.threads.unwrap_or(spec.threads);
     let mesh = Mesh::serving(spec).await;
     let direct_callers: Vec<_> =
         mesh.upstreams.iter().map(|up| Arc::new(Caller::new(up.addr))).collect();
