Count only refusals for want of room against runs that need nested calls

Change: nested calls that were shed count as run. A call refused by its kind's level comes back after 60 to 180 ms in place of 200 to 600, within most objectives.

--- a/crates/core/src/request/dependency/mod.rs
+++ b/crates/core/src/request/dependency/mod.rs
@@ -40,9 +40,9 @@
 /// Kinds of calls that each of these tables keeps at most.
 pub const MAX_KINDS: usize = 64;
 
-/// Time until the retry of a call that is refused by its kind's level: levels move over
-/// about a second.
-const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Time until the retry of a call that is refused by its kind's level. Short, so that the caller
+/// comes back within the objectives of most kinds: whether it is admitted then is drawn anew.
+const RETRY_AFTER: Duration = Duration::from_millis(120);
 
 /// Identifies a service: a hash of its name.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/src/daemon/dependencies.rs
+++ b/src/daemon/dependencies.rs
@@ -10,7 +10,7 @@
 use super::gates::local::LocalUpstream;
 use super::request::work::RoutedCall;
 use super::request::{entry, headers};
-use super::{Daemon, lock};
+use super::{Daemon, lock, throttles};
 use cicadashift_core::config::Priority;
 use cicadashift_core::config::compile::RouteKey;
 use cicadashift_core::request::dependency::{
@@ -71,8 +71,10 @@
             true if headers::text(res.headers(), call::REASON) == Some(DEPENDENCY) => {
                 NestedEnd::PassedOn
             }
-            true => NestedEnd::Refused,
-            false => NestedEnd::Ran,
+            true if throttles::is_for_want_of_room(res.headers()) => NestedEnd::Refused,
+            // Upstreams that refuse calls although they have free slots refuse the same share
+            // of fewer calls.
+            true | false => NestedEnd::Ran,
         };
         lock(&self.levels).record_nested(end, now);
     }
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -11,6 +11,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::services::Service;
 use crate::daemon::source::MAX_CALLER_IDLE;
+use crate::daemon::throttles::THROTTLED;
 use crate::logging::{DecisionClass, rate_limited_decision};
 use cicadashift_core::config::Route;
 use cicadashift_core::config::compile::RoutingTable;
@@ -301,10 +302,10 @@
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let line = RefuseLine {
         service: &route.service,
-        ..refuse_line(d, request, version, "throttled", status, retry_after)
+        ..refuse_line(d, request, version, THROTTLED, status, retry_after)
     };
     rate_limited_decision(DecisionClass::Refusal, &line);
-    headers::not_run("throttled", retry_after, d.dialect.fractional_retry_after)
+    headers::not_run(THROTTLED, retry_after, d.dialect.fractional_retry_after)
 }
 
 /// Returns whether the version in force is certainly the newest. With the product's own
--- a/src/daemon/throttles.rs
+++ b/src/daemon/throttles.rs
@@ -13,8 +13,11 @@
 
 const SHARDS: usize = 8;
 
-/// Reasons for which hosts refuse calls that they have no room for.
-const NO_ROOM: [&str; 6] = ["busy", "full", "queue-full", "too-late", "link-busy", "no-upstream"];
+/// Reasons for which calls are refused that hosts have no room for.
+const NO_ROOM: [&str; 7] =
+    ["busy", "full", "queue-full", "too-late", "link-busy", "no-upstream", THROTTLED];
+/// Reason for which calls are refused at the entry.
+pub const THROTTLED: &str = "throttled";
 
 /// [`Throttle`], sharded by kind of call to reduce lock contention.
 #[derive(Default)]
@@ -49,13 +52,17 @@
     }
 }
 
+/// Returns whether a refusal says that there was no room for a call.
+pub fn is_for_want_of_room(response: &HeaderMap) -> bool {
+    headers::text(response, call::REASON).is_some_and(|reason| NO_ROOM.contains(&reason))
+}
+
 /// Returns whether hosts had room for a call, or `None` if it was refused for another reason.
 fn outcome(response: &HeaderMap) -> Option<CallOutcome> {
     if !headers::is_not_run(response) {
         return Some(CallOutcome::Accepted);
     }
-    let reason = headers::text(response, call::REASON)?;
-    if !NO_ROOM.contains(&reason) {
+    if !is_for_want_of_room(response) {
         return None;
     }
     let wait = headers::number(response, call::RETRY_AFTER_MS).map(Duration::from_millis);
