Count nested calls that are refused at their entry as refused

Cause: a nested call that the throttle refuses never reached the record of nested calls, so that the level of its parents' kind did not fall.

--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -114,7 +114,9 @@
         && let Err(wait) = d.throttles.admit(KindKey(kind), priority, started)
     {
         expect_return(d, kind, first_arrival, caller_deadline);
-        return refuse_throttled(d, &request_id, &route, version, wait);
+        let res = refuse_throttled(d, &request_id, &route, version, wait);
+        d.dependencies.record_entered(d, KindKey(kind), &res);
+        return res;
     }
     if let Some(account) = &organisation
         && !is_within_quota(d, account, started >= first_arrival + route.objective(), started)
