--- a/src/daemon/in_band.rs
+++ b/src/daemon/in_band.rs
@@ -1,10 +1,11 @@
 //! In-band signals: limits, leaving and load that upstreams name in their answers.
 //!
 //! The exit daemon decodes the signals ([`Signals`]) and applies them ([`apply`]): a limit
-//! paces the upstream's gate, an upstream that is leaving is drained as if it had
-//! reported so, and the gate takes the pace of the upstream's machine into account. The exit daemon also adds the signals to each answer that it returns, and
-//! entry daemons remember them ([`RememberedSignals`]), since the exit daemon loses them when
-//! it restarts. docs/DESIGN.md, "What an upstream says in its answers", has the reasons.
+//! paces the upstream's gate, an upstream that is leaving is drained as if it had reported
+//! so, and the gate takes the pace of the upstream's machine into account. The exit daemon
+//! also adds the signals to each answer that it returns, and entry daemons remember them
+//! ([`RememberedSignals`]), since the exit daemon loses them when it restarts.
+//! docs/DESIGN.md, "What an upstream says in its answers", has the reasons.
 
 use super::gates::local::LocalUpstream;
 use super::request::headers;
