--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod drain;
 mod fleet;
+mod freeze;
 mod http;
 mod instance;
 mod json;
@@ -74,6 +75,7 @@
     let setting = Setting { trouble, folder: work.clone() };
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "drain" => drain::run(&setting, &record),
+        "freeze" => freeze::run(&setting, &record),
         _ => Err(format!("no case {case}")),
     });
     let _left_behind = std::fs::remove_dir_all(&work);
