--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod instance;
 mod json;
+mod pipeline;
 mod record;
 mod store;
 
@@ -75,6 +76,7 @@
     let setting = Setting { trouble, folder: work.clone() };
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "drain" => drain::run(&setting, &record),
+        "pipeline" => pipeline::run(&setting, &record),
         "freeze" => freeze::run(&setting, &record),
         _ => Err(format!("no case {case}")),
     });
