Log which report announces an upstream, and when one in use falls silent

Hypotheses: the health request after the start announces it; the late heartbeat does; or the daemon knows that it is silent and keeps it. The log told the first two apart ("was found by asking it"), not the third: a silent upstream in use left no line, and "announced" did not say by which report.

So there are two causes: the first report after a start is believed, and silence alone never takes an upstream in use away.

--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -61,6 +61,8 @@
     connect_failures: u32,
     /// Whether the upstream is leaving or was replaced.
     is_leaving: bool,
+    /// Whether no report has arrived for [`REPORT_TIMEOUT`].
+    is_silent: bool,
     /// Whether the upstream signalled in an answer that it is leaving.
     signalled_leaving: bool,
     /// Calls in flight to the upstream.
@@ -101,6 +103,7 @@
         let state = LocalState {
             gate,
             is_leaving: announcement.readiness == Readiness::Draining,
+            is_silent: false,
             signalled_leaving: false,
             announcement,
             last_report: now,
@@ -365,7 +368,12 @@
         let wakes = state.gate.tick(now);
         state.notify(wakes);
         let is_silent = now.saturating_duration_since(state.last_report) >= REPORT_TIMEOUT;
-        state.connect_failures >= MAX_CONNECT_FAILURES || (is_silent && state.gate.running() == 0)
+        let running = state.gate.running();
+        if is_silent && !state.is_silent {
+            log::info!("upstream {}: no report lately, {running} calls running", self.instance);
+        }
+        state.is_silent = is_silent;
+        state.connect_failures >= MAX_CONNECT_FAILURES || (is_silent && running == 0)
     }
 
     fn ended(&self, ticket: Ticket, end: End, now: Instant) {
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -186,7 +186,11 @@
         let removed: Vec<_> = replaced.iter().filter_map(end).collect();
         // The instance may only have changed its address, in which case it has not ended.
         self.ended.retain(|ended| ended.instance != name || ended.start != start);
-        log::info!("upstream {name} of {} announced, started at {start}", announcement.service);
+        log::info!(
+            "upstream {name} of {} announced, started at {start}, by report {}",
+            announcement.service,
+            announcement.sequence
+        );
         let local = Arc::new(LocalUpstream::new(announcement, now));
         self.by_name.insert(local.name.clone(), local);
         (true, removed)
