Take a silent upstream in use for gone when its health says no

Cause: LocalUpstream::tick drops an upstream without reports only at a moment in which it runs no call. Under steady load there is none. Under light load it depends on chance, and then a healthy upstream whose reports are cut off is dropped as well.

Change: core membership/silence decides. After 5 s without a report the upstream is asked for its health, once a second. Two answers in a row that say no take it out of use, whether it runs calls or not; its next report brings it back, and its calls in progress are not cut off. Good health keeps it. One that neither reports nor answers goes once it runs no calls, and one that is drained and idle goes at once, both as before. A rejection for want of a slot says nothing.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -4,7 +4,8 @@
 //! the upstreams on its host. Records spread inside a failure domain by gossip
 //! ([`gossip`]), and between domains through one gateway per domain, which
 //! transfers the changes in a journal ([`table`]). [`detector`] probes a constant
-//! number of members per period, however many there are.
+//! number of members per period, however many there are. [`silence`] judges whether the
+//! upstream on this host is gone.
 //!
 //! No decision about correctness relies on membership: a wrong view costs latency
 //! or a refused call. It never activates a wrong version, which [`crate::delivery`]
@@ -20,4 +21,5 @@
 pub mod gossip;
 pub mod liveness;
 pub mod record;
+pub mod silence;
 pub mod table;
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -121,6 +121,8 @@
     arrivals: Mutex<Vec<Arrival>>,
     sends_heartbeats: Mutex<bool>,
     answers_health: Mutex<bool>,
+    /// Whether health answers say that the instance takes no calls, whatever its state.
+    denies_health: Mutex<bool>,
     sequence: AtomicU64,
     /// Start time, in Unix milliseconds by the clock of the instance.
     start_ms: AtomicU64,
@@ -172,6 +174,7 @@
             arrivals: Mutex::default(),
             sends_heartbeats: Mutex::new(true),
             answers_health: Mutex::new(true),
+            denies_health: Mutex::new(false),
             sequence: AtomicU64::new(0),
             start_ms: AtomicU64::new(1),
             ledger,
@@ -272,6 +275,16 @@
         *lock(&self.shared.answers_health) = answers_health;
     }
 
+    /// Makes health answers say that the instance takes no calls, or what it does.
+    pub fn deny_health(&self, denies_health: bool) {
+        *lock(&self.shared.denies_health) = denies_health;
+    }
+
+    /// Returns the id.
+    pub fn id(&self) -> String {
+        lock(&self.shared.id).clone()
+    }
+
     /// Replaces the instance by another one at the same address, without a report to the
     /// daemon.
     pub fn replace_id(&self, id: &str) {
@@ -564,7 +577,7 @@
 
 fn health(shared: &Shared, own: &str) -> Response<Body> {
     let mut res = Response::new(body::empty());
-    if *lock(&shared.draining) {
+    if *lock(&shared.draining) || *lock(&shared.denies_health) {
         *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     set(&mut res, "x-instance-id", own);
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -5,6 +5,7 @@
 use crate::daemon::{Daemon, lock};
 use cicadashift_core::ids::CallDigest;
 use cicadashift_core::membership::record::{Endpoint, Readiness};
+use cicadashift_core::membership::silence::{Action, Health, REPORT_TIMEOUT, Silence, Usage};
 use cicadashift_core::request::gate::pace::{LimitChange, NamedLimit};
 use cicadashift_core::request::gate::{
     Admission, Arrival, End, Gate, KindKey, Refusal, Ticket, Wake,
@@ -21,8 +22,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time without a report after which an upstream without running calls is considered gone.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which reports of an earlier incarnation of an instance may still arrive: when a
 /// partition ends, reports that were held up are delivered some seconds late. After this
 /// time a report with an older start time is accepted, since the host's clock may have been
@@ -57,12 +56,12 @@
 struct LocalState {
     gate: Gate,
     announcement: Announcement,
-    last_report: Instant,
+    silence: Silence,
     connect_failures: u32,
     /// Whether the upstream is leaving or was replaced.
     is_leaving: bool,
-    /// Whether no report has arrived for [`REPORT_TIMEOUT`].
-    is_silent: bool,
+    /// Whether the log has a line that no report arrives.
+    is_silence_logged: bool,
     /// Whether the upstream signalled in an answer that it is leaving.
     signalled_leaving: bool,
     /// Calls in flight to the upstream.
@@ -103,10 +102,10 @@
         let state = LocalState {
             gate,
             is_leaving: announcement.readiness == Readiness::Draining,
-            is_silent: false,
+            is_silence_logged: false,
             signalled_leaving: false,
             announcement,
-            last_report: now,
+            silence: Silence::new(now),
             connect_failures: 0,
             in_flight: HashMap::new(),
             abandoned: VecDeque::new(),
@@ -150,8 +149,7 @@
     /// Returns whether a report with this start time comes late from an earlier incarnation:
     /// this incarnation has sent a report lately.
     pub(super) fn is_newer_than(&self, start: u64, now: Instant) -> bool {
-        let last_report = lock(&self.state).last_report;
-        let has_reported_lately = now.saturating_duration_since(last_report) < LATE_REPORT_WINDOW;
+        let has_reported_lately = lock(&self.state).silence.since_report(now) < LATE_REPORT_WINDOW;
         start != 0 && start < self.start() && has_reported_lately
     }
 
@@ -322,7 +320,7 @@
         if announcement.sequence < state.announcement.sequence {
             return false;
         }
-        state.last_report = now;
+        state.silence.reported(now);
         state.gate.set_slots(u32::from(announcement.slots));
         let readiness = announcement.readiness;
         let slots_changed = state.announcement.slots != announcement.slots;
@@ -337,7 +335,7 @@
     /// Applies a report of the readiness; returns whether the membership record changed.
     pub(super) fn report(&self, readiness: Readiness, now: Instant) -> bool {
         let mut state = lock(&self.state);
-        state.last_report = now;
+        state.silence.reported(now);
         state.set_readiness(readiness)
     }
 
@@ -362,18 +360,32 @@
         state.notify(wakes);
     }
 
-    /// Updates the queue; returns whether the upstream is considered gone.
-    pub(super) fn tick(&self, now: Instant) -> bool {
+    /// Records what the upstream's health says, while no reports arrive.
+    pub(super) fn record_health(&self, health: Health) {
+        log::info!("upstream {}: no report lately, health {health:?}", self.instance);
+        lock(&self.state).silence.health_checked(health);
+    }
+
+    /// Updates the queue; returns what to do about the upstream if no reports arrive.
+    pub(super) fn tick(&self, now: Instant) -> Action {
         let mut state = lock(&self.state);
         let wakes = state.gate.tick(now);
         state.notify(wakes);
-        let is_silent = now.saturating_duration_since(state.last_report) >= REPORT_TIMEOUT;
         let running = state.gate.running();
-        if is_silent && !state.is_silent {
+        let is_silent = state.silence.since_report(now) >= REPORT_TIMEOUT;
+        if is_silent && !state.is_silence_logged {
             log::info!("upstream {}: no report lately, {running} calls running", self.instance);
         }
-        state.is_silent = is_silent;
-        state.connect_failures >= MAX_CONNECT_FAILURES || (is_silent && running == 0)
+        state.is_silence_logged = is_silent;
+        if state.connect_failures >= MAX_CONNECT_FAILURES {
+            return Action::Remove;
+        }
+        let usage = match (running, state.is_leaving) {
+            (0, true) => Usage::Drained,
+            (0, false) => Usage::Idle,
+            _ => Usage::Running,
+        };
+        state.silence.tick(usage, now)
     }
 
     fn ended(&self, ticket: Ticket, end: End, now: Instant) {
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -5,9 +5,11 @@
 pub mod ended;
 pub mod local;
 
-use super::{Daemon, lock};
+use super::{Daemon, greet, lock};
 use cicadashift_core::membership::record::{Endpoint, Readiness};
+use cicadashift_core::membership::silence::Action;
 use cicadashift_edge::interface::Announcement;
+use cicadashift_http::exec;
 use cicadashift_http::reactor::Timer;
 use local::{LATE_REPORT_WINDOW, Load, LocalUpstream};
 use std::collections::{HashMap, VecDeque};
@@ -127,13 +129,17 @@
         d.members.set_endpoints(d, endpoints);
     }
 
-    fn tick(&self, d: &Daemon) {
+    fn tick(&self, d: &Arc<Daemon>) {
         let now = d.clock.now();
         for (name, local) in self.locals() {
             local.pool.sweep();
-            if local.tick(now) {
-                log::warn!("upstream {name} is taken for gone: no reports and no connection");
-                self.remove_lost(d, &name);
+            match local.tick(now) {
+                Action::Keep => {}
+                Action::CheckHealth => check_health(d, local),
+                Action::Remove => {
+                    log::warn!("upstream {name} is taken for gone: it sends no reports");
+                    self.remove_lost(d, &name);
+                }
             }
         }
     }
@@ -147,6 +153,16 @@
     }
 }
 
+/// Asks an upstream that sends no reports for its health.
+fn check_health(d: &Arc<Daemon>, local: Arc<LocalUpstream>) {
+    let d = d.clone();
+    exec::spawn(async move {
+        let answer = greet::request_health(&d, local.address, &local.instance).await;
+        local.record_health(answer);
+    })
+    .detach();
+}
+
 impl Inner {
     /// Applies an announcement; returns whether the membership record changed, and the
     /// upstreams that the announced one replaces.
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -1,4 +1,4 @@
-//! Identifies the upstream on this host after a start of the daemon, by a health request.
+//! Asks the upstream on this host for its health.
 //!
 //! Failure: a daemon is restarted while the upstream on its host goes on running. Symptom: the
 //! upstream gets no calls until its next report, about 0.75 s on average, and its service lacks
@@ -8,11 +8,14 @@
 use super::Daemon;
 use super::in_band::{self, Signals};
 use super::request::headers;
+use bytes::Bytes;
 use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::membership::silence::Health;
 use cicadashift_edge::interface::Announcement;
 use cicadashift_http::body;
 use cicadashift_http::client::Pool;
-use cicadashift_http::hyper::{Request, StatusCode};
+use cicadashift_http::hyper::header::HeaderMap;
+use cicadashift_http::hyper::{Request, Response, StatusCode};
 use cicadashift_http::reactor::Timer;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -55,20 +58,28 @@
     }
 }
 
+/// Asks for the health of an instance at an address.
+pub async fn request_health(d: &Daemon, address: SocketAddr, instance: &str) -> Health {
+    let Some(res) = send_health_request(d, address).await else { return Health::Unknown };
+    let is_other = instance_of(d, res.headers()).is_some_and(|other| other != instance);
+    match res.status() {
+        StatusCode::OK if !is_other => Health::Good,
+        // An upstream without a free slot rejects health requests like any other.
+        _ if !is_other && res.headers().contains_key(&d.dialect.not_run) => Health::Unknown,
+        _ => Health::Denied,
+    }
+}
+
 /// Sends a health request, and returns the announcement and in-band signals in its answer.
 async fn request_identity(d: &Daemon, address: SocketAddr) -> Option<(Announcement, Signals)> {
     let service = d.settings.services.first()?;
-    let path = d.versions.health_path(service)?;
-    let req = Request::get(path).header("host", address.to_string()).body(body::empty()).ok()?;
-    let result = Pool::new(1).exchange(address, req, MAX_BODY, REQUEST_TIMEOUT).await;
-    let res = result.inspect_err(|err| log::info!("upstream {address}: {err}")).ok()?;
+    let res = send_health_request(d, address).await?;
     if res.status() != StatusCode::OK {
         return None;
     }
-    let instance = headers::text(res.headers(), d.dialect.instance.as_ref()?.as_str())?;
     let signals = Signals::of(d, res.headers());
     let announced = Announcement {
-        instance: instance.to_string(),
+        instance: instance_of(d, res.headers())?.to_string(),
         start: 0,
         service: service.clone(),
         // Only the upstream's own reports name it.
@@ -82,3 +93,15 @@
     };
     Some((announced, signals))
 }
+
+async fn send_health_request(d: &Daemon, address: SocketAddr) -> Option<Response<Bytes>> {
+    let path = d.versions.health_path(d.settings.services.first()?)?;
+    let req = Request::get(path).header("host", address.to_string()).body(body::empty()).ok()?;
+    let result = Pool::new(1).exchange(address, req, MAX_BODY, REQUEST_TIMEOUT).await;
+    result.inspect_err(|err| log::info!("upstream {address}: {err}")).ok()
+}
+
+/// Returns the id of the instance that answered.
+fn instance_of<'a>(d: &Daemon, head: &'a HeaderMap) -> Option<&'a str> {
+    headers::text(head, d.dialect.instance.as_ref()?.as_str())
+}
