--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -4,8 +4,10 @@
 //! the upstreams on its host. Records spread inside a failure domain by gossip
 //! ([`gossip`]), and between domains through one gateway per domain, which
 //! transfers the changes in a journal ([`table`]). [`detector`] probes a constant
-//! number of members per period, however many there are. [`silence`] judges whether the
-//! upstream on this host is gone.
+//! number of members per period, however many there are.
+//!
+//! [`departures`] are the upstreams that are leaving, which all daemons remember, and
+//! [`reports`] and [`silence`] judge what a daemon knows of the upstream on its host.
 //!
 //! No decision about correctness relies on membership: a wrong view costs latency
 //! or a refused call. It never activates a wrong version, which [`crate::delivery`]
@@ -17,9 +19,11 @@
 //! the member's routes name the service: gossip scoped by service would need as
 //! many groups as there are services. `docs/CAPACITY.md` lists the cost in bytes.
 
+pub mod departures;
 pub mod detector;
 pub mod gossip;
 pub mod liveness;
 pub mod record;
+pub mod reports;
 pub mod silence;
 pub mod table;
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -4,6 +4,7 @@
 use crate::seal::MeshKey;
 use cicadashift_core::ids::{HostKey, Version};
 use cicadashift_core::limit::{Grant, Notice, Usage};
+use cicadashift_core::membership::departures::Departure;
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::request::suspects::Suspicion;
 use serde::{Deserialize, Serialize};
@@ -44,7 +45,7 @@
 }
 
 /// The purpose of a datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// Asks for an [`Kind::Ack`].
     Ping,
@@ -56,6 +57,9 @@
     AckFor { target: HostKey },
     /// Carries piggybacked data and needs no answer.
     News,
+    /// Tells which upstreams are leaving. A kind of its own, since daemons that do not know
+    /// it discard the datagram and can still decode all others.
+    Departures(Vec<Departure>),
 }
 
 impl Datagram {
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -4,6 +4,7 @@
 use cicadashift_core::config::delta::{Delta, Signature};
 use cicadashift_core::delivery::witness::Testimony;
 use cicadashift_core::ids::{HostKey, Incarnation, ObjectHash, Revision, Version};
+use cicadashift_core::membership::departures::Departure;
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::membership::table::JournalPos;
 use cicadashift_core::request::suspects::Suspicion;
@@ -105,6 +106,9 @@
     /// Send an update from the version `held`, whose text has this signature, to the
     /// configuration in force.
     DocumentDelta { held: Version, signature: Signature },
+    /// Remember that these upstreams are leaving, and return those of the host `host` that
+    /// are.
+    Departures { host: HostKey, departures: Vec<Departure> },
 }
 
 /// The result of an offer or activation at one host.
@@ -155,6 +159,8 @@
     Done,
     /// The request cannot be answered, with the reason.
     Declined(String),
+    /// To `Departures`: the upstreams of the host that are leaving.
+    Departures(Vec<Departure>),
 }
 
 /// An update of a member to the configuration in force.
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -1,6 +1,7 @@
 //! For any input bytes, the decoders return a message or an error and never panic.
 
 use cicadashift_core::ids::HostKey;
+use cicadashift_core::membership::departures::Departure;
 use cicadashift_wire::call::Context;
 use cicadashift_wire::datagram::{Datagram, Kind};
 use cicadashift_wire::rpc::{self, Request, Response};
@@ -50,6 +51,17 @@
         prop_assert_eq!(Datagram::decode(&sent.encode(&key()), &key()), Ok(sent));
     }
 
+    #[test]
+    fn departures_are_decoded_as_they_were_encoded(start in any::<u64>(), left_ms in any::<u32>()) {
+        let departure =
+            Departure { host: HostKey(2), instance: "i-1".to_string(), start, at_ms: 9, left_ms };
+        let kind = Kind::Departures(vec![departure.clone()]);
+        let sent = Datagram { kind, ..datagram(start) };
+        prop_assert_eq!(Datagram::decode(&sent.encode(&key()), &key()), Ok(sent));
+        let request = Request::Departures { host: HostKey(2), departures: vec![departure] };
+        prop_assert_eq!(rpc::decode(&rpc::encode(&request)), Ok(request));
+    }
+
     #[test]
     fn a_changed_datagram_is_refused(digest in any::<u64>(), at in any::<prop::sample::Index>(), by in 1_u8..) {
         let mut buf = datagram(digest).encode(&key());
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -22,7 +22,7 @@
 const DECISION: &str = "decision";
 /// Parts of the messages that record a change in what a daemon knows of its surroundings:
 /// configuration, hosts, upstreams and the store.
-const CONTEXT: [&str; 17] = [
+const CONTEXT: [&str; 18] = [
     "names a limit",
     "names no limit",
     "calls at it",
@@ -37,6 +37,7 @@
     "is taken for",
     "the store is",
     "leaves",
+    "is leaving",
     "announced",
     "was frozen",
     "stopping",
--- a/src/daemon/datagrams.rs
+++ b/src/daemon/datagrams.rs
@@ -4,6 +4,7 @@
 use super::costs::Purpose;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::limit::{Grant, Notice, Report, Usage};
+use cicadashift_core::membership::departures::Departure;
 use cicadashift_core::membership::record::Record;
 use cicadashift_core::request::suspects::Suspicion;
 use cicadashift_wire::datagram::{Datagram, Kind};
@@ -32,6 +33,11 @@
     }
 }
 
+/// Sends a member upstreams that are leaving.
+pub async fn send_departures(d: &Daemon, host: HostKey, departures: Vec<Departure>) {
+    send(d, host, Kind::Departures(departures), Vec::new()).await;
+}
+
 /// Sends usage reports to the keeper of their limits.
 pub async fn send_reports(d: &Daemon, keeper: HostKey, reports: &[Report]) {
     if let Some(to) = d.members.address(keeper) {
@@ -95,10 +101,10 @@
     kind: Kind,
     piggyback: Piggyback,
 ) {
-    let purpose = match (kind, piggyback.has_no_gossip()) {
+    let purpose = match (&kind, piggyback.has_no_gossip()) {
         _ if piggyback.has_limit_data() => Purpose::Limit,
         (Kind::News, true) => Purpose::Heartbeat,
-        (Kind::News, false) => Purpose::Membership,
+        (Kind::News, false) | (Kind::Departures(_), _) => Purpose::Membership,
         _ => Purpose::Probe,
     };
     let datagram = Datagram {
--- /dev/null
+++ b/src/daemon/departures.rs
@@ -0,0 +1,210 @@
+//! Replication of departures, so that a restart of this daemon forgets none that it
+//! acknowledged.
+//!
+//! Before an upstream's leaving is acknowledged, a few other daemons are told, and one of
+//! them has confirmed that it remembers. They spread it by gossip. A daemon that starts asks
+//! for the departures of its own host. [`cicadashift_core::membership::departures`] holds
+//! them, and `docs/DESIGN.md`, "What a restart must not forget", has the reasons.
+//!
+//! # Limits
+//!
+//! A daemon that reaches no other acknowledges all the same, since the promise binds it in
+//! any case, and tells the others as soon as it reaches one.
+
+use super::in_band::split_name;
+use super::{Daemon, datagrams, lock, peers};
+use cicadashift_core::ids::{HostKey, IncarnationKey};
+use cicadashift_core::membership::departures::{Departure, Departures};
+use cicadashift_core::membership::gossip::Queue;
+use cicadashift_http::exec;
+use cicadashift_http::reactor::Timer;
+use cicadashift_wire::rpc::{Request as Ask, Response};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Daemons that are told of a departure before it is acknowledged, or asked after a start.
+/// Of three, one is in another failure domain.
+const REPLICAS: usize = 3;
+/// Longest wait for a daemon to confirm a departure. An upstream waits a second for its
+/// acknowledgement.
+const REPLICATION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two attempts to tell others of a departure that none has confirmed.
+const RETRY_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time after the start within which another daemon should have returned the departures of
+/// this host. A daemon that finds no other goes by what the upstream itself says.
+const RESTORE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Interval of checks whether another daemon is known.
+const RESTORE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after which other daemons are asked again, since a departure may still have been on
+/// its way to those that were asked first.
+const SECOND_RESTORE_DELAY: Duration = Duration::from_millis(1500);
+/// Departures in one datagram; at about 60 bytes each they fit a usual MTU.
+const PER_DATAGRAM: usize = 16;
+
+/// The departures that this daemon knows.
+#[derive(Default)]
+pub struct KnownDepartures {
+    known: Mutex<Departures>,
+    /// Departures that remain to be gossiped.
+    pending: Mutex<Queue<(HostKey, IncarnationKey), Departure>>,
+    /// Departures of this host that no other daemon has confirmed, and when they were last
+    /// sent.
+    unconfirmed: Mutex<Vec<(Departure, Instant)>>,
+    /// Whether another daemon has returned the departures of this host since the start.
+    is_restored: AtomicBool,
+}
+
+impl KnownDepartures {
+    /// Returns whether an incarnation of an instance is leaving or has left.
+    pub fn contains(&self, host: HostKey, instance: &str, start: u64, now: Instant) -> bool {
+        lock(&self.known).contains(host, instance, start, now)
+    }
+
+    /// Returns the departures of a host.
+    pub fn of_host(&self, host: HostKey, now: Instant) -> Vec<Departure> {
+        lock(&self.known).of_host(host, now)
+    }
+
+    /// Returns the number of departures known.
+    pub fn count(&self) -> usize {
+        lock(&self.known).len()
+    }
+
+    /// Returns whether departures remain to be gossiped.
+    pub fn has_pending(&self) -> bool {
+        !lock(&self.pending).is_empty()
+    }
+}
+
+/// Records that an upstream on this host is leaving, and returns once another daemon
+/// remembers it or [`REPLICATION_TIMEOUT`] has passed.
+pub async fn record_own(d: &Arc<Daemon>, instance: &str, start: u64) {
+    let departure = Departure::new(d.me, instance, start, d.clock.wall_ms());
+    if merge(d, std::slice::from_ref(&departure)) && !replicate(d, &departure).await {
+        d.metrics.incr("upstream.leaving_unconfirmed");
+        log::warn!("no other daemon confirms that upstream {instance} is leaving");
+        lock(&d.departures.unconfirmed).push((departure, d.clock.now()));
+    }
+}
+
+/// Merges departures that were observed here or received from other daemons; returns whether
+/// any of them is new here.
+pub fn merge(d: &Daemon, departures: &[Departure]) -> bool {
+    let now = d.clock.now();
+    let is_new = |departure: &&Departure| lock(&d.departures.known).record(departure, now);
+    let new: Vec<&Departure> = departures.iter().filter(is_new).collect();
+    for departure in &new {
+        lock(&d.departures.pending).push(departure.key(), (*departure).clone());
+        if departure.host == d.me {
+            d.gates.apply_departure(d, departure);
+        }
+    }
+    if new.iter().any(|departure| is_selectable(d, departure)) {
+        d.services.sync(d);
+    }
+    !new.is_empty()
+}
+
+/// Returns whether membership lists a departed upstream as one that takes calls.
+fn is_selectable(d: &Daemon, departure: &Departure) -> bool {
+    d.members.get(departure.host).is_some_and(|record| {
+        let mut names = record.endpoints.iter().map(|endpoint| split_name(&endpoint.instance));
+        names.any(|(instance, _)| instance == departure.instance)
+    })
+}
+
+/// Tells other daemons of a departure; returns whether one of them confirms in time that it
+/// remembers it.
+async fn replicate(d: &Arc<Daemon>, departure: &Departure) -> bool {
+    let departures = vec![departure.clone()];
+    ask_replicas(d, &Ask::Departures { host: d.me, departures }).await
+}
+
+/// Sends a request to some other daemons at the same time and merges what they answer;
+/// returns whether one has answered as soon as that is known.
+async fn ask_replicas(d: &Arc<Daemon>, request: &Ask) -> bool {
+    let silent = lock(&d.liveness).silent_hosts();
+    let (tx, rx) = smol::channel::bounded(REPLICAS);
+    for host in d.members.replicas(&silent, REPLICAS) {
+        let Some(to) = d.members.address(host) else { continue };
+        let (d, request, tx) = (d.clone(), request.clone(), tx.clone());
+        exec::spawn(async move {
+            match peers::ask(&d, to, &request, REPLICATION_TIMEOUT).await {
+                Ok(Response::Departures(departures)) => {
+                    merge(&d, &departures);
+                    let _another_answered_first = tx.try_send(());
+                }
+                Ok(_) => log::debug!("{to}: unexpected answer about departures"),
+                Err(err) => log::debug!("{to}: no answer about departures: {err}"),
+            }
+        })
+        .detach();
+    }
+    drop(tx);
+    rx.recv().await.is_ok()
+}
+
+/// Answers a request of the daemon of `host`, which may also bring departures.
+pub fn on_request(d: &Daemon, host: HostKey, departures: &[Departure]) -> Response {
+    merge(d, departures);
+    Response::Departures(d.departures.of_host(host, d.clock.now()))
+}
+
+/// Asks other daemons for the departures of this host after a start, twice.
+pub async fn run(d: Arc<Daemon>) {
+    while !restore(&d).await {
+        Timer::after(RESTORE_POLL_INTERVAL).await;
+    }
+    d.departures.is_restored.store(true, Ordering::Relaxed);
+    Timer::after(SECOND_RESTORE_DELAY).await;
+    restore(&d).await;
+}
+
+async fn restore(d: &Arc<Daemon>) -> bool {
+    ask_replicas(d, &Ask::Departures { host: d.me, departures: Vec::new() }).await
+}
+
+/// Returns once other daemons were asked for the departures of this host, or
+/// [`RESTORE_TIMEOUT`] after `started`.
+pub async fn wait_until_restored(d: &Daemon, started: Instant) {
+    let until = started + RESTORE_TIMEOUT;
+    while !d.departures.is_restored.load(Ordering::Relaxed) && d.clock.now() < until {
+        Timer::after(RESTORE_POLL_INTERVAL).await;
+    }
+}
+
+/// Drops old departures, and tells others again of those that none has confirmed.
+pub fn tick(d: &Arc<Daemon>) {
+    let now = d.clock.now();
+    lock(&d.departures.known).sweep(now);
+    let due: Vec<Departure> = {
+        let mut unconfirmed = lock(&d.departures.unconfirmed);
+        let (due, later) = unconfirmed.drain(..).partition(|(_, at)| now >= *at + RETRY_INTERVAL);
+        *unconfirmed = later;
+        let due: Vec<(Departure, Instant)> = due;
+        due.into_iter().map(|(departure, _)| departure).collect()
+    };
+    for departure in due {
+        let d = d.clone();
+        exec::spawn(async move {
+            let is_known =
+                d.departures.contains(d.me, &departure.instance, departure.start, d.clock.now());
+            if is_known && !replicate(&d, &departure).await {
+                lock(&d.departures.unconfirmed).push((departure, d.clock.now()));
+            }
+        })
+        .detach();
+    }
+}
+
+/// Sends one round of gossip to these hosts.
+pub async fn send_round(d: &Daemon, targets: &[HostKey]) {
+    let departures = lock(&d.departures.pending).take_round(PER_DATAGRAM);
+    if departures.is_empty() {
+        return;
+    }
+    for host in targets {
+        datagrams::send_departures(d, *host, departures.clone()).await;
+    }
+}
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -5,6 +5,7 @@
 use crate::daemon::{Daemon, lock};
 use cicadashift_core::ids::CallDigest;
 use cicadashift_core::membership::record::{Endpoint, Readiness};
+use cicadashift_core::membership::reports::{LATE_REPORT_WINDOW, ReportId};
 use cicadashift_core::membership::silence::{Action, Health, REPORT_TIMEOUT, Silence, Usage};
 use cicadashift_core::request::gate::pace::{LimitChange, NamedLimit};
 use cicadashift_core::request::gate::{
@@ -22,11 +23,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time in which reports of an earlier incarnation of an instance may still arrive: when a
-/// partition ends, reports that were held up are delivered some seconds late. After this
-/// time a report with an older start time is accepted, since the host's clock may have been
-/// set back between two starts.
-pub(super) const LATE_REPORT_WINDOW: Duration = Duration::from_secs(5);
 /// Consecutive connection failures after which an upstream is considered gone.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
@@ -360,6 +356,16 @@
         state.notify(wakes);
     }
 
+    /// Returns the id of the last report.
+    pub(super) fn last_report(&self) -> ReportId {
+        let state = lock(&self.state);
+        ReportId {
+            instance: self.instance.clone(),
+            start: state.announcement.start,
+            sequence: state.announcement.sequence,
+        }
+    }
+
     /// Records what the upstream's health says, while no reports arrive.
     pub(super) fn record_health(&self, health: Health) {
         log::info!("upstream {}: no report lately, health {health:?}", self.instance);
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -5,59 +5,80 @@
 pub mod ended;
 pub mod local;
 
-use super::{Daemon, greet, lock};
+use super::{Daemon, departures, greet, lock};
+use cicadashift_core::membership::departures::Departure;
 use cicadashift_core::membership::record::{Endpoint, Readiness};
+use cicadashift_core::membership::reports::{Credibility, ReportHistory, ReportId};
 use cicadashift_core::membership::silence::Action;
 use cicadashift_edge::interface::Announcement;
 use cicadashift_http::exec;
 use cicadashift_http::reactor::Timer;
-use local::{LATE_REPORT_WINDOW, Load, LocalUpstream};
-use std::collections::{HashMap, VecDeque};
+use local::{Load, LocalUpstream};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Interval between two checks for missing reports.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of ended instances remembered, so that a late report does not bring one
-/// back. A host has one upstream at a time, so sixteen incarnations cover hours.
-const MAX_ENDED: usize = 16;
 
 /// Upstreams on this host.
-#[derive(Default)]
 pub struct Gates {
+    started: Instant,
     inner: Mutex<Inner>,
 }
 
-#[derive(Default)]
 struct Inner {
     /// Upstreams by name in the mesh.
     by_name: HashMap<String, Arc<LocalUpstream>>,
-    /// Instances that left or were replaced, newest last.
-    ended: VecDeque<EndedInstance>,
+    /// What is remembered of earlier reports.
+    history: ReportHistory,
 }
 
-struct EndedInstance {
-    instance: String,
-    start: u64,
-    at: Instant,
+/// How an announcement is known to tell the present state of its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// By the announcement alone.
+    Report,
+    /// The upstream's health confirms it, or the interface has no late reports.
+    Confirmed,
 }
 
 impl Gates {
-    /// Creates an empty set.
-    pub fn new() -> Gates {
-        Gates::default()
+    /// Creates an empty set, of a daemon that starts now.
+    pub fn new(now: Instant) -> Gates {
+        let inner = Inner { by_name: HashMap::new(), history: ReportHistory::new(now) };
+        Gates { started: now, inner: Mutex::new(inner) }
     }
 
-    /// Applies an announcement and publishes the change to the mesh.
-    pub fn announce(&self, d: &Daemon, announcement: Announcement) {
+    /// Returns when the daemon started.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Applies an announcement and publishes the change to the mesh; returns what it was
+    /// taken for. One that is [`Credibility::Unconfirmed`] is not applied.
+    pub fn announce(
+        &self,
+        d: &Daemon,
+        mut announcement: Announcement,
+        evidence: Evidence,
+    ) -> Credibility {
         let now = d.clock.now();
-        let (is_changed, replaced) = lock(&self.inner).announce(announcement, now);
+        let Announcement { instance, start, .. } = &announcement;
+        let is_departed = d.departures.contains(d.me, instance, *start, now);
+        if is_departed && announcement.readiness != Readiness::Draining {
+            log::info!("upstream {instance} is leaving, as other daemons remember");
+            announcement.readiness = Readiness::Draining;
+        }
+        let Announced { credibility, is_changed, replaced } =
+            lock(&self.inner).announce(announcement, evidence, now);
         for local in replaced {
             local.drain();
         }
         if is_changed {
             self.publish(d);
         }
+        credibility
     }
 
     /// Applies a report; returns `false` if the instance was not announced.
@@ -71,17 +92,42 @@
         true
     }
 
-    /// Removes an upstream; its calls in flight are not cut off. Returns `false` if there is
-    /// no such upstream.
+    /// Removes an upstream; its calls in flight are not cut off.
     ///
     /// `start` is the start time of the incarnation to remove, or zero for any. A late leave
     /// message of an earlier incarnation therefore removes nothing.
-    pub fn remove(&self, d: &Daemon, instance: &str, start: u64) -> bool {
-        let removed = lock(&self.inner).end_instance(instance, start, d.clock.now());
-        let Some(local) = removed else { return false };
+    pub fn remove(&self, d: &Daemon, instance: &str, start: u64) -> Removed {
+        let (removed, start) = lock(&self.inner).end_instance(instance, start, d.clock.now());
+        if let Some(local) = &removed {
+            local.drain();
+            self.publish(d);
+        }
+        Removed { was_present: removed.is_some(), start }
+    }
+
+    /// Returns the start time of an instance that is leaving, if it is on this host.
+    pub fn leaving_start(&self, instance: &str) -> Option<u64> {
+        let local = lock(&self.inner).find_instance(instance)?;
+        local.is_leaving().then(|| local.start())
+    }
+
+    /// Removes the upstream on this host that other daemons remember as leaving, unless it is
+    /// drained already; its calls in flight are not cut off.
+    ///
+    /// If its start time was not known, its next report tells whether it is the departed
+    /// incarnation.
+    pub fn apply_departure(&self, d: &Daemon, departure: &Departure) {
+        let removed = {
+            let mut inner = lock(&self.inner);
+            let found = inner.find_instance(&departure.instance);
+            let departed =
+                found.filter(|local| local.matches_start(departure.start) && !local.is_leaving());
+            departed.and_then(|local| inner.by_name.remove(&local.name))
+        };
+        let Some(local) = removed else { return };
+        log::info!("upstream {} is leaving, as other daemons remember", local.name);
         local.drain();
         self.publish(d);
-        true
     }
 
     /// Drains an upstream that signalled in an answer that it is leaving.
@@ -99,7 +145,7 @@
     /// report. The answer therefore takes precedence over the reports.
     pub fn handle_misdirected(&self, d: &Daemon, name: &str, other: Option<&str>) {
         if let Some(other) = other {
-            lock(&self.inner).ended.retain(|ended| ended.instance != other);
+            lock(&self.inner).history.found_alive(other);
         }
         if let Some(local) = self.get(name) {
             self.remove(d, &local.instance, local.start());
@@ -144,15 +190,45 @@
         }
     }
 
-    /// Removes an upstream that ended without a report.
+    /// Removes an upstream that ended without a report. Only a later report than its last one
+    /// brings it back.
     pub fn remove_lost(&self, d: &Daemon, name: &str) {
         d.metrics.incr("upstream.lost");
-        let removed = lock(&self.inner).by_name.remove(name);
+        let removed = {
+            let mut inner = lock(&self.inner);
+            let removed = inner.by_name.remove(name);
+            removed.iter().for_each(|local| inner.history.found_gone(local.last_report()));
+            removed
+        };
         removed.iter().for_each(|local| local.drain());
         self.publish(d);
     }
 }
 
+/// Result of [`Gates::remove`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Removed {
+    /// Whether the upstream was on this host.
+    pub was_present: bool,
+    /// Start time of the incarnation that ended, or zero if it is unknown.
+    pub start: u64,
+}
+
+/// Result of [`Inner::announce`].
+struct Announced {
+    credibility: Credibility,
+    /// Whether the membership record changed.
+    is_changed: bool,
+    /// The upstreams that the announced one replaces.
+    replaced: Vec<Arc<LocalUpstream>>,
+}
+
+impl Announced {
+    fn unchanged(credibility: Credibility) -> Announced {
+        Announced { credibility, is_changed: false, replaced: Vec::new() }
+    }
+}
+
 /// Asks an upstream that sends no reports for its health.
 fn check_health(d: &Arc<Daemon>, local: Arc<LocalUpstream>) {
     let d = d.clone();
@@ -164,27 +240,37 @@
 }
 
 impl Inner {
-    /// Applies an announcement; returns whether the membership record changed, and the
-    /// upstreams that the announced one replaces.
     fn announce(
         &mut self,
         announcement: Announcement,
+        evidence: Evidence,
         now: Instant,
-    ) -> (bool, Vec<Arc<LocalUpstream>>) {
+    ) -> Announced {
         let (name, start) = (announcement.instance.clone(), announcement.start);
-        if self.has_ended(&name, start, now) {
-            log::info!("upstream {name} has ended; late report ignored");
-            return (false, Vec::new());
+        let found = self.find_instance(&name);
+        let report = ReportId { instance: name.clone(), start, sequence: announcement.sequence };
+        let is_harmless = announcement.readiness == Readiness::Draining;
+        match self.history.judge(&report, found.is_some(), now) {
+            Credibility::Outdated => {
+                log::info!("upstream {name} has ended; late report ignored");
+                return Announced::unchanged(Credibility::Outdated);
+            }
+            Credibility::Unconfirmed if evidence == Evidence::Report && !is_harmless => {
+                log::info!("upstream {name}: report {} may be late", report.sequence);
+                return Announced::unchanged(Credibility::Unconfirmed);
+            }
+            Credibility::Unconfirmed | Credibility::Current => {}
         }
-        if let Some(local) = self.find_instance(&name) {
+        if let Some(local) = found {
             if local.is_newer_than(start, now) {
                 log::info!(
                     "upstream {name} started again; late report of an earlier incarnation ignored"
                 );
-                return (false, Vec::new());
+                return Announced::unchanged(Credibility::Outdated);
             }
             if local.address == announcement.address && local.matches_start(start) {
-                return (local.update(announcement, now), Vec::new());
+                let is_changed = local.update(announcement, now);
+                return Announced { is_changed, ..Announced::unchanged(Credibility::Current) };
             }
         }
         // An address belongs to one instance, and an instance runs only once at a time: a new
@@ -198,10 +284,10 @@
             .filter(|local| is_replaced(local))
             .map(|local| (local.instance.clone(), local.start()))
             .collect();
-        let end = |(instance, start): &(String, u64)| self.end_instance(instance, *start, now);
+        let end = |(instance, start): &(String, u64)| self.end_instance(instance, *start, now).0;
         let removed: Vec<_> = replaced.iter().filter_map(end).collect();
         // The instance may only have changed its address, in which case it has not ended.
-        self.ended.retain(|ended| ended.instance != name || ended.start != start);
+        self.history.announced(&name, start);
         log::info!(
             "upstream {name} of {} announced, started at {start}, by report {}",
             announcement.service,
@@ -209,7 +295,7 @@
         );
         let local = Arc::new(LocalUpstream::new(announcement, now));
         self.by_name.insert(local.name.clone(), local);
-        (true, removed)
+        Announced { credibility: Credibility::Current, is_changed: true, replaced: removed }
     }
 
     /// Returns the upstream of an instance, if it is on this host.
@@ -217,41 +303,33 @@
         self.by_name.values().find(|local| local.instance == instance).cloned()
     }
 
-    /// Returns whether a report comes from an incarnation that has ended.
-    fn has_ended(&self, instance: &str, start: u64, now: Instant) -> bool {
-        self.ended.iter().filter(|ended| ended.instance == instance).any(|ended| {
-            let is_late = now.saturating_duration_since(ended.at) < LATE_REPORT_WINDOW;
-            start == ended.start || start == 0 || (start < ended.start && is_late)
-        })
-    }
-
     /// Records that an incarnation ended and removes its upstream, which is returned if there
-    /// is one. Does nothing if another incarnation of the instance is on this host.
+    /// is one, with the start time as far as it is known. Removes nothing if another
+    /// incarnation of the instance is on this host.
     fn end_instance(
         &mut self,
         instance: &str,
         start: u64,
         now: Instant,
-    ) -> Option<Arc<LocalUpstream>> {
+    ) -> (Option<Arc<LocalUpstream>>, u64) {
         let found = self.find_instance(instance);
         if found.as_ref().is_some_and(|local| !local.matches_start(start)) {
-            return None;
-        }
-        let start = found.as_ref().map_or(start, |local| local.start());
-        self.ended.retain(|ended| ended.instance != instance || ended.start != start);
-        self.ended.push_back(EndedInstance { instance: instance.to_string(), start, at: now });
-        while self.ended.len() > MAX_ENDED {
-            self.ended.pop_front();
+            return (None, start);
         }
-        self.by_name.remove(&found?.name)
+        // Each of the two may know the start time when the other does not.
+        let start = found.as_ref().map_or(start, |local| local.start().max(start));
+        self.history.ended(instance, start, now);
+        (found.and_then(|local| self.by_name.remove(&local.name)), start)
     }
 }
 
-/// Removes upstreams that stopped reporting and updates all queues, until cancelled.
+/// Removes upstreams that stopped reporting, updates all queues and drops old departures, until
+/// cancelled.
 pub async fn run(d: Arc<Daemon>) {
     loop {
         Timer::after(TICK_INTERVAL).await;
         d.gates.tick(&d);
+        departures::tick(&d);
         d.dependencies.tick(&d);
         d.mesh_pool.sweep();
     }
--- a/src/daemon/gossip.rs
+++ b/src/daemon/gossip.rs
@@ -1,7 +1,7 @@
 //! Runs probes and gossip over UDP, and handles received datagrams.
 
 use super::datagrams::{Piggyback, ping, send, send_datagram, send_to};
-use super::{Daemon, catch_up, limits, liveness, quarantine, source};
+use super::{Daemon, catch_up, departures, limits, liveness, quarantine, source};
 use crate::settings::InterfaceKind;
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::limit::Report;
@@ -48,7 +48,7 @@
     let mut next_dead_probe = d.clock.now();
     let mut last_round = next_dead_probe;
     loop {
-        let is_idle = d.members.is_queue_empty();
+        let is_idle = !has_pending(&d);
         Timer::after(if is_idle { IDLE_TICK } else { TICK }).await;
         let now = d.clock.now();
         for action in d.members.tick(now, fastrand::u64(..)) {
@@ -62,12 +62,17 @@
                 ping(&d, *host).await;
             }
         }
-        if !d.members.is_queue_empty() {
+        if has_pending(&d) {
             send_round(&d).await;
         }
     }
 }
 
+/// Returns whether records or departures remain to be gossiped.
+fn has_pending(d: &Daemon) -> bool {
+    !d.members.is_queue_empty() || d.departures.has_pending()
+}
+
 /// Sends queued records without waiting for the next rounds.
 pub async fn flush(d: &Daemon) {
     for _ in 0..FLUSH_ROUNDS {
@@ -137,6 +142,7 @@
             send(d, *host, Kind::News, records.to_vec()).await;
         }
     }
+    departures::send_round(d, &targets).await;
 }
 
 async fn handle(d: &Arc<Daemon>, datagram: Datagram, from: SocketAddr, sync: &mut SyncState) {
@@ -172,11 +178,14 @@
     if !records.is_empty() {
         d.members.apply(d, records);
     }
-    match kind {
+    match &kind {
         Kind::Ping => send_to(d, (host, from), Kind::Ack, Vec::new()).await,
         Kind::Ack => d.members.answered(host),
-        Kind::PingFor { target } => probe_for(d, host, target),
-        Kind::AckFor { target } => d.members.answered(target),
+        Kind::PingFor { target } => probe_for(d, host, *target),
+        Kind::AckFor { target } => d.members.answered(*target),
+        Kind::Departures(departures) => {
+            departures::merge(d, departures);
+        }
         Kind::News => {}
     }
     if active > d.versions.active_version() {
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -4,25 +4,33 @@
 //! upstream gets no calls until its next report, about 0.75 s on average, and its service lacks
 //! capacity for that time. The answer to a health request registers the upstream at once;
 //! from then on its own reports take precedence.
+//!
+//! Failure: the first report to arrive after a start was sent before it, by an upstream that
+//! has left since. Symptom: the upstream gets calls until it ends. Such a report counts only
+//! if the upstream's health confirms it ([`confirm`]).
 
-use super::Daemon;
+use super::gates::Evidence;
 use super::in_band::{self, Signals};
 use super::request::headers;
+use super::{Daemon, departures};
 use bytes::Bytes;
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::membership::silence::Health;
 use cicadashift_edge::interface::Announcement;
 use cicadashift_http::body;
 use cicadashift_http::client::Pool;
+use cicadashift_http::exec;
 use cicadashift_http::hyper::header::HeaderMap;
 use cicadashift_http::hyper::{Request, Response, StatusCode};
 use cicadashift_http::reactor::Timer;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout of a request; an upstream whose slots are all busy answers late.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for a report to be confirmed; the upstream waits a second for its answer.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
 /// Most requests that are sent; after them the upstream's own report is due soon.
 const ATTEMPTS: u32 = 3;
 /// Pause between two requests.
@@ -38,6 +46,7 @@
     while d.versions.running_version() == 0 {
         Timer::after(CONFIG_POLL_INTERVAL).await;
     }
+    departures::wait_until_restored(&d, d.gates.started()).await;
     for _ in 0..ATTEMPTS {
         if !d.gates.all().is_empty() {
             return;
@@ -46,18 +55,37 @@
         if let Some((announced, signals)) = request_identity(&d, address).await
             && d.gates.all().is_empty()
         {
-            log::info!("upstream {} was found by asking it", announced.instance);
-            let name = announced.instance.clone();
-            d.gates.announce(&d, announced);
-            if let Some(local) = d.gates.get(&name) {
-                in_band::apply(&d, &local, signals, sent);
-            }
+            register(&d, announced, signals, sent);
             return;
         }
         Timer::after(PAUSE).await;
     }
 }
 
+/// Registers the upstream that answered a health request, unless it may be one that left.
+fn register(d: &Daemon, announced: Announcement, signals: Signals, sent: Instant) {
+    let name = announced.instance.clone();
+    if d.departures.contains(d.me, &name, announced.start, sent) {
+        log::info!("upstream {name} was found by asking it, but may be one that left");
+        return;
+    }
+    log::info!("upstream {name} was found by asking it");
+    d.gates.announce(d, announced, Evidence::Confirmed);
+    if let Some(local) = d.gates.get(&name) {
+        in_band::apply(d, &local, signals, sent);
+    }
+}
+
+/// Returns whether the health of an upstream confirms a report of it, which may be late.
+/// Other daemons are heard first, if there are any: they know whether the upstream left.
+pub async fn confirm(d: &Daemon, report: &Announcement) -> bool {
+    let confirmed = async {
+        departures::wait_until_restored(d, d.gates.started()).await;
+        request_health(d, report.address, &report.instance).await == Health::Good
+    };
+    exec::timeout(CONFIRM_TIMEOUT, confirmed).await.unwrap_or(false)
+}
+
 /// Asks for the health of an instance at an address.
 pub async fn request_health(d: &Daemon, address: SocketAddr, instance: &str) -> Health {
     let Some(res) = send_health_request(d, address).await else { return Health::Unknown };
--- a/src/daemon/in_band.rs
+++ b/src/daemon/in_band.rs
@@ -3,14 +3,16 @@
 //! The exit daemon decodes the signals ([`Signals`]) and applies them ([`apply`]): a limit
 //! paces the upstream's gate, an upstream that is leaving is drained as if it had reported
 //! so, and the gate takes the pace of the upstream's machine into account. The exit daemon
-//! also adds the signals to each answer that it returns, and entry daemons remember them
-//! ([`RememberedSignals`]), since the exit daemon loses them when it restarts.
+//! also adds the signals to each answer that it returns, and entry daemons remember them,
+//! since the exit daemon loses them when it restarts: limits in [`RememberedLimits`], and
+//! that an upstream is leaving in [`departures`], beside the leavings that it reports.
 //! docs/DESIGN.md, "What an upstream says in its answers", has the reasons.
 
 use super::gates::local::LocalUpstream;
 use super::request::headers;
-use super::{Daemon, lock};
+use super::{Daemon, departures, lock};
 use cicadashift_core::ids::HostKey;
+use cicadashift_core::membership::departures::Departure;
 use cicadashift_core::request::gate::pace::{LimitChange, NamedLimit};
 use cicadashift_core::request::machine::{MachinePace, UpstreamLoad};
 use cicadashift_http::hyper::header::HeaderMap;
@@ -19,8 +21,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time without an answer from an upstream after which an entry daemon forgets its signals.
-/// Upstreams that leave end within seconds.
+/// Time without an answer from an upstream after which an entry daemon forgets its limit.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 /// Separates the instance id from the start time in an upstream's name in the mesh.
 const START_SEPARATOR: char = '@';
@@ -86,6 +87,8 @@
         d.metrics.incr("upstream.leaving_signalled");
         log::info!("upstream {} leaves, as its answers say", local.instance);
         d.gates.drain(d, local);
+        let (start, at_ms) = (local.start(), d.clock.wall_ms());
+        departures::merge(d, &[Departure::new(d.me, &local.instance, start, at_ms)]);
     }
     apply_load(d, local, signals.load);
     let limit = match signals.limit {
@@ -126,72 +129,63 @@
     }
 }
 
-/// Signals of upstreams in the answers that this entry daemon received, by host and
+/// Returns the departure that the exit daemon on `host` adds to an answer of the upstream
+/// `name`, if the upstream signalled that it is leaving.
+pub fn departure(host: HostKey, name: &str, head: &HeaderMap) -> Option<Departure> {
+    let reported = headers::number(head, call::LEAVING_START)?;
+    let (instance, start) = split_name(name);
+    // Only the clock of the upstream's host could tell when it left.
+    let at_ms = 0;
+    Some(Departure::new(host, instance, start.unwrap_or(reported), at_ms))
+}
+
+/// Limits that upstreams named in the answers that this entry daemon received, by host and
 /// instance.
 #[derive(Default)]
-pub struct RememberedSignals {
+pub struct RememberedLimits {
     rows: Mutex<HashMap<(HostKey, String), Row>>,
 }
 
 #[derive(Clone, Debug)]
 struct Row {
-    /// Start time of the incarnation that sent the signals; `None` if its daemon did not
+    /// Start time of the incarnation that named the limit; `None` if its daemon did not
     /// know it.
     start: Option<u64>,
-    limit: Option<NamedLimit>,
-    is_leaving: bool,
+    limit: NamedLimit,
     received: Instant,
 }
 
-impl RememberedSignals {
-    /// Records the signals that the exit daemon added to an answer; returns whether this is
-    /// the first signal that the upstream is leaving.
-    pub fn record(&self, host: HostKey, name: &str, head: &HeaderMap, now: Instant) -> bool {
+impl RememberedLimits {
+    /// Records the limit that the exit daemon added to an answer, or that it added none.
+    pub fn record(&self, host: HostKey, name: &str, head: &HeaderMap, now: Instant) {
         let limit = headers::number(head, call::LIMIT_THOUSANDTHS);
         let limit = limit.map(|number| NamedLimit::from_thousandths(number as u32));
-        let leaving = headers::number(head, call::LEAVING_START);
-        let is_leaving = leaving.is_some();
         let (instance, start) = split_name(name);
-        let start = start.or(leaving.filter(|start| *start != 0));
         let mut rows = lock(&self.rows);
         let key = (host, instance.to_string());
-        if limit.is_none() && !is_leaving && !rows.contains_key(&key) {
-            return false;
+        if limit.is_none() && !rows.contains_key(&key) {
+            return;
         }
         rows.retain(|_, row| now.saturating_duration_since(row.received) < FORGET_AFTER);
-        let was_leaving =
-            rows.get(&key).is_some_and(|row| row.is_leaving && row.matches_start(start));
-        let is_leaving = is_leaving || was_leaving;
-        if limit.is_none() && !is_leaving {
-            rows.remove(&key);
-            return false;
+        match limit {
+            Some(limit) => {
+                rows.insert(key, Row { start, limit, received: now });
+            }
+            None => {
+                rows.remove(&key);
+            }
         }
-        rows.insert(key, Row { start, limit, is_leaving, received: now });
-        is_leaving && !was_leaving
-    }
-
-    /// Returns whether an upstream signalled that it is leaving.
-    ///
-    /// Failure: the daemon beside an upstream restarts and the upstream reports itself as
-    /// ready. Symptom: the upstream gets new calls from daemons that have already passed on
-    /// its leaving signal.
-    pub fn is_leaving(&self, host: HostKey, name: &str) -> bool {
-        self.row(host, name).is_some_and(|row| row.is_leaving)
     }
 
     /// Returns the limit that an upstream named last, if any.
     pub fn limit(&self, host: HostKey, name: &str) -> Option<NamedLimit> {
-        self.row(host, name)?.limit
-    }
-
-    fn row(&self, host: HostKey, name: &str) -> Option<Row> {
         let (instance, start) = split_name(name);
         let rows = lock(&self.rows);
         if rows.is_empty() {
             return None;
         }
         let row = rows.get(&(host, instance.to_string()))?;
-        row.matches_start(start).then(|| row.clone())
+        row.matches_start(start).then_some(row.limit)
     }
 }
 
@@ -208,7 +202,7 @@
 
 /// Splits an upstream's name in the mesh into the instance id and the start time, if the
 /// name has one.
-fn split_name(name: &str) -> (&str, Option<u64>) {
+pub fn split_name(name: &str) -> (&str, Option<u64>) {
     match name.split_once(START_SEPARATOR) {
         Some((instance, start)) => (instance, start.parse().ok()),
         None => (name, None),
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -393,6 +393,29 @@
         keepers
     }
 
+    /// Returns up to `max` random daemons that are to remember something for this one: one in
+    /// another failure domain, if there is one, and others of the own one. `silent` hosts and
+    /// those that are not marked as alive are left out.
+    pub fn replicas(&self, silent: &[HostKey], max: usize) -> Vec<HostKey> {
+        let inner = lock(&self.inner);
+        let is_usable = |record: &&Record| {
+            record.host != self.me
+                && record.health == Health::Alive
+                && !silent.contains(&record.host)
+        };
+        let (mut near, mut far): (Vec<_>, Vec<_>) = inner
+            .table
+            .iter()
+            .filter(is_usable)
+            .map(|record| (record.host, record.domain == self.domain))
+            .partition(|(_, is_near)| *is_near);
+        drop(inner);
+        fastrand::shuffle(&mut near);
+        fastrand::shuffle(&mut far);
+        let first_far = far.pop();
+        first_far.into_iter().chain(near).chain(far).map(|(host, _)| host).take(max).collect()
+    }
+
     /// Returns the records of live daemons in other failure domains.
     pub fn live_in_other_domains(&self) -> Vec<Record> {
         let inner = lock(&self.inner);
--- a/src/daemon/mesh.rs
+++ b/src/daemon/mesh.rs
@@ -3,7 +3,9 @@
 use super::request::tracked::InFlightGuard;
 use super::request::{exit, headers, paced};
 use super::rollouts::decider;
-use super::{Daemon, catch_up, gateway, promotion, quarantine, quotas, reader, stage, status};
+use super::{
+    Daemon, catch_up, departures, gateway, promotion, quarantine, quotas, reader, stage, status,
+};
 use cicadashift_core::delivery::node::{Action, Event};
 use cicadashift_core::delivery::witness::Testimony;
 use cicadashift_http::body::{self, Body, BodyError};
@@ -81,6 +83,7 @@
             quarantine::merge(d, &suspicions);
             Response::Suspicions(quarantine::suspicions(d))
         }
+        Ask::Departures { host, departures } => departures::on_request(d, host, &departures),
         Ask::Rollout(report) => Response::Quotas(decider::on_report(d, report)),
         Ask::Record { rows } => {
             d.delivery_record.add(rows);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,6 +17,7 @@
 pub mod catch_up;
 pub mod costs;
 pub mod datagrams;
+pub mod departures;
 pub mod dependencies;
 pub mod discovery;
 pub mod document;
@@ -146,8 +147,10 @@
     pub quarantine: quarantine::Quarantine,
     /// Rate limits that all daemons enforce together.
     pub limits: limits::MeshLimits,
-    /// In-band signals of upstreams in the answers that this daemon received.
-    pub in_band_signals: in_band::RememberedSignals,
+    /// Limits that upstreams named in the answers that this daemon received.
+    pub named_limits: in_band::RememberedLimits,
+    /// Upstreams of all hosts that are leaving.
+    pub departures: departures::KnownDepartures,
     /// Rollouts of new versions.
     pub rollouts: rollouts::Rollouts,
     /// Load balancing over the upstreams of each service.
@@ -329,6 +332,7 @@
         exec::spawn(gossip::run(d.clone())),
         exec::spawn(gossip::receive(d.clone())),
         exec::spawn(gates::run(d.clone())),
+        exec::spawn(departures::run(d.clone())),
         exec::spawn(tunable::run(d.clone(), changes)),
         exec::spawn(costs::run(d.clone())),
         exec::spawn(quarantine::run(d.clone())),
@@ -392,10 +396,11 @@
             throttles: throttles::ShardedThrottle::default(),
             quarantine: quarantine::Quarantine::default(),
             limits: limits::MeshLimits::default(),
-            in_band_signals: in_band::RememberedSignals::default(),
+            named_limits: in_band::RememberedLimits::default(),
+            departures: departures::KnownDepartures::default(),
             rollouts: rollouts::Rollouts::default(),
             services: services::Services::new(settings.choice),
-            gates: gates::Gates::new(),
+            gates: gates::Gates::new(clock.now()),
             dependencies: dependencies::Dependencies::default(),
             link: settings.link_mbps.map(|mbps| Mutex::new(Link::new(mbps))),
             delivery_record: record::DeliveryRecord::new(),
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -80,6 +80,7 @@
 fn purpose(ask: &Ask) -> Purpose {
     match ask {
         Ask::Sync { .. } | Ask::PushRecords { .. } => Purpose::Table,
+        Ask::Departures { .. } => Purpose::Membership,
         Ask::Document { .. } | Ask::DocumentDelta { .. } => Purpose::Version,
         Ask::Current => Purpose::Probe,
         _ => Purpose::Control,
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -7,7 +7,7 @@
 use crate::daemon::costs::Purpose;
 use crate::daemon::dependencies::DEPENDENCY;
 use crate::daemon::services::{AttemptGuard, Target};
-use crate::daemon::{Daemon, liveness, lock, quarantine};
+use crate::daemon::{Daemon, departures, in_band, liveness, lock, quarantine};
 use cicadashift_core::request::choose::{LoadReport, Locality, Outcome};
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::retry::Attempt;
@@ -151,8 +151,9 @@
     );
     let report = decode_report(d, &head.headers);
     d.dependencies.record_answer(d, call, &head.headers);
-    if d.in_band_signals.record(target.host, &target.instance, &head.headers, d.clock.now()) {
-        d.services.sync(d);
+    d.named_limits.record(target.host, &target.instance, &head.headers, d.clock.now());
+    if let Some(departure) = in_band::departure(target.host, &target.instance, &head.headers) {
+        departures::merge(d, &[departure]);
     }
     let key = target.choice.key;
     if let Some(ms) = headers::number(&head.headers, call::LINK_MS) {
@@ -231,7 +232,7 @@
     options: SendOptions,
     now: Instant,
 ) -> Context {
-    let named_limit = d.in_band_signals.limit(target.host, &target.instance);
+    let named_limit = d.named_limits.limit(target.host, &target.instance);
     let ms = |time: Duration| time.as_millis().min(u128::from(u32::MAX)) as u32;
     Context {
         request_id: call.request_id.clone(),
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -1,5 +1,6 @@
 //! Upstream selection and retry budgets of each service, sharded by service.
 
+use super::in_band::split_name;
 use super::{Daemon, lock};
 use cicadashift_core::ids::HostKey;
 use cicadashift_core::membership::record::{Endpoint, Health, Readiness, Record};
@@ -250,6 +251,7 @@
     if !matches!(record.health, Health::Alive | Health::Suspect) {
         return Vec::new();
     }
+    let now = d.clock.now();
     let is_near = record.domain == d.settings.failure_domain;
     let locality = match (record.host == d.me, is_near) {
         (true, _) => Locality::SameHost,
@@ -262,7 +264,9 @@
         .filter_map(|endpoint| {
             let Endpoint { service, version, instance, .. } = endpoint;
             let name = d.rollouts.lane_name(service, version, instance)?;
-            let is_leaving = d.in_band_signals.is_leaving(record.host, instance);
+            // Whatever its host reports: its daemon may have forgotten in a restart.
+            let (id, start) = split_name(instance);
+            let is_leaving = d.departures.contains(record.host, id, start.unwrap_or(0), now);
             let info = UpstreamInfo {
                 host: record.host,
                 instance: endpoint.instance.clone(),
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -72,6 +72,7 @@
         "throttled_share": d.throttles.max_refused_share(),
         "dependencies": d.dependencies.status(d),
         "members": d.members.others().len() + 1,
+        "departures": d.departures.count(),
         "control_bytes": d.costs.control_bytes(),
         "config_age_ms": d.versions.document.confirmed_age_ms(d.clock.now()),
         "log_lines_lost": crate::logging::lost_lines(),
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -3,11 +3,13 @@
 //! `docs/UPSTREAMS.md` describes it for authors of upstreams. It trusts whoever can reach
 //! it, so it belongs on loopback.
 
+use super::gates::Evidence;
 use super::request::headers;
-use super::{Daemon, quarantine, quotas, status};
+use super::{Daemon, departures, greet, quarantine, quotas, status};
 use cicadashift_core::config::check_name;
 use cicadashift_core::ids::CallDigest;
 use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::membership::reports::Credibility;
 use cicadashift_edge::interface::{
     Announcement as PlatformAnnouncement, Interface, Malformed, Report as PlatformReport,
 };
@@ -52,7 +54,7 @@
     };
     if let Some(adapter) = &d.platform_adapter {
         match adapter.decode_report(&head.method, head.uri.path(), &buf) {
-            Ok(Some(report)) => return apply_report(&d, report),
+            Ok(Some(report)) => return apply_report(&d, report).await,
             Ok(None) => {}
             Err(err) => return reject_report(&d, &err),
         }
@@ -60,9 +62,11 @@
     let path = head.uri.path().trim_matches('/');
     let parts: Vec<&str> = path.split('/').collect();
     match (&head.method, parts.as_slice()) {
-        (&Method::POST, ["v1", "upstreams"]) => announce(&d, &buf),
-        (&Method::POST, ["v1", "upstreams", instance, "report"]) => report(&d, instance, &buf),
-        (&Method::DELETE, ["v1", "upstreams", instance]) => leave(&d, instance),
+        (&Method::POST, ["v1", "upstreams"]) => announce(&d, &buf).await,
+        (&Method::POST, ["v1", "upstreams", instance, "report"]) => {
+            report(&d, instance, &buf).await
+        }
+        (&Method::DELETE, ["v1", "upstreams", instance]) => leave(&d, instance).await,
         (&Method::GET, ["v1", "status"]) => json(status::fleet(&d).await),
         (&Method::GET, ["v1", "status", "self"]) => json(status::own(&d)),
         (&Method::GET, ["v1", "quarantine"]) => json(status::quarantine(&d)),
@@ -75,25 +79,39 @@
 }
 
 /// Applies a report in the platform's form. Once it is answered, an upstream that leaves
-/// gets no new work from this daemon.
-fn apply_report(d: &Daemon, report: PlatformReport) -> Response<Body> {
+/// gets no new work, also if this daemon is then restarted.
+async fn apply_report(d: &Arc<Daemon>, report: PlatformReport) -> Response<Body> {
     match report {
-        PlatformReport::Announce(announced) => d.gates.announce(d, announced),
+        PlatformReport::Announce(announced) => {
+            let credibility = d.gates.announce(d, announced.clone(), Evidence::Report);
+            if credibility == Credibility::Unconfirmed && greet::confirm(d, &announced).await {
+                d.gates.announce(d, announced.clone(), Evidence::Confirmed);
+            }
+            remember_if_leaving(d, &announced.instance).await;
+        }
         PlatformReport::Leave { instance, start } => {
             log::info!("upstream {instance} left");
-            d.gates.remove(d, &instance, start);
+            let removed = d.gates.remove(d, &instance, start);
+            departures::record_own(d, &instance, removed.start).await;
         }
     }
     json(serde_json::json!({}))
 }
 
+/// Has other daemons remember that an upstream is leaving, if it is.
+async fn remember_if_leaving(d: &Arc<Daemon>, instance: &str) {
+    if let Some(start) = d.gates.leaving_start(instance) {
+        departures::record_own(d, instance, start).await;
+    }
+}
+
 fn reject_report(d: &Daemon, err: &Malformed) -> Response<Body> {
     log::warn!("upstream report rejected: {err}");
     d.metrics.incr("upstream.malformed");
     headers::plain(StatusCode::BAD_REQUEST, &format!("{err}\n"))
 }
 
-fn announce(d: &Daemon, buf: &[u8]) -> Response<Body> {
+async fn announce(d: &Arc<Daemon>, buf: &[u8]) -> Response<Body> {
     let announcement: Announcement = match serde_json::from_slice(buf) {
         Ok(announcement) => announcement,
         Err(err) => return headers::plain(StatusCode::BAD_REQUEST, &format!("{err}\n")),
@@ -108,38 +126,44 @@
         let line = "slots must be at least 1 and at most connections\n";
         return headers::plain(StatusCode::BAD_REQUEST, line);
     }
-    d.gates.announce(
-        d,
-        PlatformAnnouncement {
-            instance: announcement.instance,
-            start: 0,
-            service: announcement.service,
-            version: String::new(),
-            address: announcement.address,
-            slots: announcement.slots,
-            readiness: announcement.readiness,
-            // Reports in this form carry no sequence number; each counts as new.
-            sequence: 0,
-            cold_for: Duration::ZERO,
-        },
-    );
+    let announcement = PlatformAnnouncement {
+        instance: announcement.instance,
+        start: 0,
+        service: announcement.service,
+        version: String::new(),
+        address: announcement.address,
+        slots: announcement.slots,
+        readiness: announcement.readiness,
+        // Reports in this form carry no sequence number; each counts as new.
+        sequence: 0,
+        cold_for: Duration::ZERO,
+    };
+    let instance = announcement.instance.clone();
+    d.gates.announce(d, announcement, Evidence::Confirmed);
+    remember_if_leaving(d, &instance).await;
     headers::plain(StatusCode::OK, "announced\n")
 }
 
-fn report(d: &Daemon, instance: &str, buf: &[u8]) -> Response<Body> {
+async fn report(d: &Arc<Daemon>, instance: &str, buf: &[u8]) -> Response<Body> {
     let report: Report = match serde_json::from_slice(buf) {
         Ok(report) => report,
         Err(err) => return headers::plain(StatusCode::BAD_REQUEST, &format!("{err}\n")),
     };
-    match d.gates.report(d, instance, report.readiness) {
+    let is_announced = d.gates.report(d, instance, report.readiness);
+    remember_if_leaving(d, instance).await;
+    match is_announced {
         true => headers::plain(StatusCode::OK, "ok\n"),
         false => headers::plain(StatusCode::NOT_FOUND, "not announced\n"),
     }
 }
 
-fn leave(d: &Daemon, instance: &str) -> Response<Body> {
+async fn leave(d: &Arc<Daemon>, instance: &str) -> Response<Body> {
     log::info!("upstream {instance} left");
-    match d.gates.remove(d, instance, 0) {
+    let removed = d.gates.remove(d, instance, 0);
+    if removed.was_present {
+        departures::record_own(d, instance, removed.start).await;
+    }
+    match removed.was_present {
         true => headers::plain(StatusCode::OK, "gone\n"),
         false => headers::plain(StatusCode::NOT_FOUND, "not announced\n"),
     }
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -1,5 +1,5 @@
-//! When a daemon takes the upstream on its host for gone. The daemons are real processes, the
-//! upstreams stand-in instances.
+//! What a daemon promised about the upstream on its host, and what it believes after a
+//! restart. The daemons are real processes, the upstreams stand-in instances.
 
 mod common;
 
@@ -8,15 +8,22 @@
 use cicadashift_testkit::hosted::fleet::HostedFleet;
 use cicadashift_testkit::hosted::instance::Instance;
 use common::run;
+use serde_json::json;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
-/// Time for which callers go on sending after an instance must be out of use, or kept.
+/// Time after an acknowledged leaving from which the instance gets no new request.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time for which callers go on sending after that.
 const CHECKED_TIME: Duration = Duration::from_secs(3);
+/// Time within which a report must be acknowledged.
+const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time within which an instance that neither reports nor is healthy must be out of use: the
 /// report timeout, two health requests, and the time to spread it.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(9);
+/// Sequence number of a heartbeat that is older than all others.
+const OLD_SEQUENCE: u64 = 0;
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_cicadashift"))
@@ -65,6 +72,150 @@
     (count, late.len())
 }
 
+/// How an instance tells its daemon that it leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaving {
+    Draining,
+    Withdrawn,
+}
+
+/// Has an instance leave, and checks that this is acknowledged in time.
+async fn leave(instance: &Instance, how: Leaving) -> Instant {
+    let began = Instant::now();
+    let is_acknowledged = match how {
+        Leaving::Draining => instance.drain().await,
+        Leaving::Withdrawn => instance.leave().await,
+    };
+    assert!(is_acknowledged, "{how:?}");
+    assert!(began.elapsed() < ACK_TIMEOUT, "{how:?}: {:?}", began.elapsed());
+    Instant::now()
+}
+
+/// Restarts a daemon at once, and delivers a late heartbeat of its instance as soon as it
+/// accepts one, and again until `until`.
+async fn restart_and_deliver_late(fleet: &mut HostedFleet, i: usize, until: Instant) {
+    fleet.kill(i);
+    fleet.restart(i);
+    while Instant::now() < until {
+        let instance = &fleet.daemons[i].instance;
+        let _daemon_may_be_starting =
+            instance.send_heartbeat_as(&format!("i-{i}"), OLD_SEQUENCE, false).await;
+        smol::Timer::after(Duration::from_millis(100)).await;
+    }
+}
+
+#[test]
+fn an_acknowledged_leaving_outlives_kills_of_its_daemon() {
+    // Guards against a daemon that forgets in a restart that it acknowledged a leaving, and
+    // announces the instance again: its health still answers, and its last heartbeat is late.
+    run(async {
+        for how in [Leaving::Withdrawn, Leaving::Draining] {
+            let mut fleet = serving(3).await;
+            let instance: Arc<Instance> = fleet.daemons[2].instance.clone();
+            instance.set_heartbeats(false);
+            let left = leave(&instance, how).await;
+            let from = left + DRAIN_TIME;
+            let callers = start_callers(&fleet, &[0, 1, 2], from + CHECKED_TIME);
+            for kill in 0..2 {
+                let pause = Duration::from_millis(1200) * (kill + 1);
+                restart_and_deliver_late(&mut fleet, 2, left + pause).await;
+            }
+            let (late, sent) = arrived_late(callers, &instance, from).await;
+            assert_eq!(late, 0, "{how:?}: of {sent}; {}", events(&fleet, 2));
+        }
+    });
+}
+
+#[test]
+fn a_leaving_that_all_daemons_forget_is_not_undone_by_a_late_heartbeat() {
+    // Guards against a daemon that takes the first heartbeat after its start for the present
+    // state: all daemons were killed after they acknowledged the leaving, and only the
+    // instance's health tells that it leaves.
+    run(async {
+        let mut fleet = serving(3).await;
+        let instance: Arc<Instance> = fleet.daemons[2].instance.clone();
+        let left = leave(&instance, Leaving::Withdrawn).await;
+        instance.deny_health(true);
+        (0..3).for_each(|i| fleet.kill(i));
+        (0..2).for_each(|i| fleet.restart(i));
+        restart_and_deliver_late(&mut fleet, 2, left + Duration::from_millis(300)).await;
+        let from = left + DRAIN_TIME;
+        let callers = start_callers(&fleet, &[0, 1, 2], from + CHECKED_TIME);
+        smol::Timer::after(DRAIN_TIME).await;
+        assert!(instance.send_heartbeat_as("i-2", OLD_SEQUENCE, false).await);
+        let (late, sent) = arrived_late(callers, &instance, from).await;
+        assert_eq!(late, 0, "of {sent}; {}", events(&fleet, 2));
+    });
+}
+
+#[test]
+fn a_leaving_acknowledged_in_a_partition_is_known_after_it() {
+    // Guards against a daemon that cannot tell anybody of a leaving, fails to acknowledge it in
+    // time, or tells nobody after the partition either and forgets it in a restart.
+    run(async {
+        let mut fleet = HostedFleet::serving_over_domain_links(program(), 3).await;
+        let instance: Arc<Instance> = fleet.daemons[2].instance.clone();
+        fleet.cut_domains(true);
+        let left = leave(&instance, Leaving::Withdrawn).await;
+        smol::Timer::after(Duration::from_millis(500)).await;
+        fleet.cut_domains(false);
+        let is_told =
+            async |fleet: &HostedFleet| fleet.own_status(0).await["departures"] == json!(1);
+        assert!(fleet.wait(is_told).await, "{}", events(&fleet, 0));
+        let until = Instant::now() + Duration::from_millis(600);
+        restart_and_deliver_late(&mut fleet, 2, until).await;
+        let from = (left + DRAIN_TIME).max(Instant::now());
+        let callers = start_callers(&fleet, &[0, 1, 2], from + CHECKED_TIME);
+        let (late, sent) = arrived_late(callers, &instance, from).await;
+        assert_eq!(late, 0, "of {sent}; {}", events(&fleet, 2));
+    });
+}
+
+#[test]
+fn an_instance_that_starts_again_under_its_id_is_not_kept_out() {
+    // Guards against a remembered leaving that is applied to the next incarnation of the
+    // instance, after its daemon has forgotten both in a restart.
+    run(async {
+        let mut fleet = serving(3).await;
+        let instance: Arc<Instance> = fleet.daemons[2].instance.clone();
+        leave(&instance, Leaving::Withdrawn).await;
+        fleet.kill(2);
+        fleet.restart(2);
+        let ready = fleet.wait(async |fleet: &HostedFleet| fleet.is_ready(2).await).await;
+        assert!(ready, "{}", events(&fleet, 2));
+        assert!(instance.restart_at(unix_ms()).await);
+        let before = instance.arrivals().len();
+        let callers = start_callers(&fleet, &[2], Instant::now() + DRAIN_TIME);
+        for caller in callers {
+            caller.await;
+        }
+        assert!(instance.arrivals().len() > before, "{}", events(&fleet, 2));
+    });
+}
+
+#[test]
+fn a_late_heartbeat_of_a_replaced_instance_displaces_no_other_after_a_restart() {
+    // Guards against a daemon that has forgotten in a restart which instance was replaced at
+    // its address, and announces the old one in place of the new one.
+    run(async {
+        let mut fleet = serving(2).await;
+        let instance: Arc<Instance> = fleet.daemons[1].instance.clone();
+        instance.replace_id("i-9");
+        assert!(instance.send_heartbeat().await);
+        fleet.kill(1);
+        fleet.restart(1);
+        let known = async |fleet: &HostedFleet| fleet.sees_instances(1, 2).await;
+        assert!(fleet.wait(known).await, "{}", events(&fleet, 1));
+        assert!(instance.send_heartbeat_as("i-1", 500, false).await);
+        for n in 0..10 {
+            let id = format!("after-{n}");
+            assert_eq!(fleet.status(1, "/notices/1", &id).await, Some(200));
+        }
+        let log = fleet.log(1);
+        assert!(!log.contains("upstream i-1 of notice announced, started at 1, by report 500"));
+    });
+}
+
 #[test]
 fn an_instance_in_use_that_neither_reports_nor_is_healthy_gets_no_new_requests() {
     // Guards against an upstream that has left without this daemon's knowledge, and is kept as
@@ -89,6 +240,26 @@
     });
 }
 
+#[test]
+fn a_late_heartbeat_does_not_bring_back_an_instance_that_was_found_gone() {
+    // Guards against a daemon that forgets an instance with its last report when it finds it
+    // gone, and takes a late heartbeat for a new instance. A later heartbeat brings it back.
+    run(async {
+        let fleet = serving(2).await;
+        let instance: Arc<Instance> = fleet.daemons[1].instance.clone();
+        instance.set_heartbeats(false);
+        instance.deny_health(true);
+        let gone = async |fleet: &HostedFleet| fleet.sees_instances(1, 1).await;
+        assert!(fleet.wait(gone).await, "{}", events(&fleet, 1));
+        assert!(instance.send_heartbeat_as("i-1", OLD_SEQUENCE, false).await);
+        smol::Timer::after(Duration::from_millis(500)).await;
+        assert!(fleet.sees_instances(1, 1).await, "{}", events(&fleet, 1));
+        instance.set_heartbeats(true);
+        let back = async |fleet: &HostedFleet| fleet.sees_instances(0, 2).await;
+        assert!(fleet.wait(back).await, "{}", events(&fleet, 1));
+    });
+}
+
 #[test]
 fn an_instance_in_use_whose_reports_are_cut_off_is_kept() {
     // Guards against an upstream that is taken out of use because of missing reports alone.
@@ -106,6 +277,12 @@
     });
 }
 
+/// Returns the time of day in Unix milliseconds.
+fn unix_ms() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_1970.expect("the clock is past 1970").as_millis() as u64
+}
+
 /// Returns the log of a daemon without its decisions.
 fn events(fleet: &HostedFleet, i: usize) -> String {
     let log = fleet.log(i);
