Ask less often for departures while no other daemon is known

A daemon that starts alone asked for replicas fifty times a second until it found another one, which a mesh of one never does. The pause now grows by half to a second. No answer changes: health requests wait a second for the departures at most, as before.

--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -34,8 +34,11 @@
 /// Time after the start within which another daemon should have returned the departures of
 /// this host. A daemon that finds no other goes by what the upstream itself says.
 const RESTORE_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Interval of checks whether another daemon is known.
+/// Interval of checks whether the departures of this host have been returned.
 const RESTORE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// First and longest time between two attempts to ask other daemons after a start.
+const RESTORE_BACKOFF: (Duration, Duration) =
+    (Duration::from_millis(20), Duration::from_millis(1000));
 /// Time after which other daemons are asked again, since a departure may still have been on
 /// its way to those that were asked first.
 const SECOND_RESTORE_DELAY: Duration = Duration::from_millis(1500);
@@ -153,8 +156,10 @@
 
 /// Asks other daemons for the departures of this host after a start, twice.
 pub async fn run(d: Arc<Daemon>) {
+    let mut pause = RESTORE_BACKOFF.0;
     while !restore(&d).await {
-        Timer::after(RESTORE_POLL_INTERVAL).await;
+        Timer::after(pause).await;
+        pause = pause.mul_f64(1.5).min(RESTORE_BACKOFF.1);
     }
     d.departures.is_restored.store(true, Ordering::Relaxed);
     Timer::after(SECOND_RESTORE_DELAY).await;
