Spread a departure once, not with each report of the upstream

An upstream that is draining reports so every 1.5 s. Where it names no start time, each report raised the time at which it left, which counted as new: the departure was confirmed and gossiped to all daemons again with each report. The first time stays now. Entry daemons also rebuilt their lists for an upstream that its record already shows as draining.

The core test failed before (true in place of false for the later report).

--- a/crates/core/src/membership/departures.rs
+++ b/crates/core/src/membership/departures.rs
@@ -88,9 +88,11 @@
             row.instance == departure.instance && (row.start == departure.start || is_unknown_start)
         };
         if let Some(row) = rows.iter_mut().find(same) {
-            let is_later = row.start == 0 && departure.at_ms > row.at_ms;
-            row.at_ms = row.at_ms.max(departure.at_ms);
-            return is_later;
+            let adds_time = row.at_ms == 0 && departure.at_ms != 0;
+            if adds_time {
+                row.at_ms = departure.at_ms;
+            }
+            return adds_time;
         }
         // The start time of the same departure has become known.
         rows.retain(|row| row.instance != departure.instance || row.start != 0);
--- a/crates/core/tests/reports.rs
+++ b/crates/core/tests/reports.rs
@@ -91,21 +91,24 @@
 }
 
 // Guards against a departure without a start time that keeps out a later incarnation after the
-// start time of the departed one has become known.
+// start time of the departed one has become known, and against one that is sent to all daemons
+// with each report of the same upstream.
 #[test]
 fn a_start_time_that_becomes_known_replaces_an_unknown_one() {
     let now = Instant::now();
     let mut departures = Departures::default();
     let at_unknown_time = departures.record(&Departure::new(HOST, "a", 0, 0), now);
     let by_its_host = departures.record(&Departure::new(HOST, "a", 0, AT_MS), now);
+    let by_a_later_report = departures.record(&Departure::new(HOST, "a", 0, AT_MS + 1), now);
     let before = departures.contains(HOST, "a", 6, now);
     let known_start = departures.record(&Departure::new(HOST, "a", 5, AT_MS), now);
     let repeated = departures.record(&Departure::new(HOST, "a", 0, 0), now);
     let after = departures.contains(HOST, "a", 6, now);
     insta::assert_compact_debug_snapshot!(
-        (at_unknown_time, by_its_host, known_start, repeated, before, after),
-        @"(true, true, true, false, true, false)"
+        [at_unknown_time, by_its_host, by_a_later_report, known_start, repeated],
+        @"[true, true, false, true, false]"
     );
+    assert!(before && !after);
 }
 
 // Guards against daemons that renew each other's memory for ever, and against memory that
--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -16,6 +16,7 @@
 use cicadashift_core::ids::{HostKey, IncarnationKey};
 use cicadashift_core::membership::departures::{Departure, Departures};
 use cicadashift_core::membership::gossip::Queue;
+use cicadashift_core::membership::record::Readiness;
 use cicadashift_http::exec;
 use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request as Ask, Response};
@@ -112,8 +113,10 @@
 /// Returns whether membership lists a departed upstream as one that takes calls.
 fn is_selectable(d: &Daemon, departure: &Departure) -> bool {
     d.members.get(departure.host).is_some_and(|record| {
-        let mut names = record.endpoints.iter().map(|endpoint| split_name(&endpoint.instance));
-        names.any(|(instance, _)| instance == departure.instance)
+        record.endpoints.iter().any(|endpoint| {
+            let (instance, _) = split_name(&endpoint.instance);
+            instance == departure.instance && endpoint.readiness != Readiness::Draining
+        })
     })
 }
 
