Add the clock margin to a start time without overflow

A start time is a number of the upstream. Near the largest one, and where the departed incarnation named none, the sum of start time and margin wrapped around in release builds and a later incarnation counted as the departed one; in debug builds it ended the daemon. Found by reading. The extreme stands in the core test now.

--- a/crates/core/src/membership/departures.rs
+++ b/crates/core/src/membership/departures.rs
@@ -148,7 +148,7 @@
     fn may_be_of(&self, start: u64) -> bool {
         match (self.start, start) {
             (_, 0) => true,
-            (0, start) => start + CLOCK_MARGIN_MS <= self.at_ms,
+            (0, start) => start.saturating_add(CLOCK_MARGIN_MS) <= self.at_ms,
             (own, start) => own == start,
         }
     }
--- a/crates/core/tests/reports.rs
+++ b/crates/core/tests/reports.rs
@@ -82,10 +82,10 @@
     departures.record(&Departure::new(HOST, "b", 0, AT_MS), now);
     let is_known = |(instance, start)| departures.contains(HOST, instance, start, now);
     let same = [("a", 5), ("a", 0), ("b", 0), ("b", 5)].map(is_known);
-    let others = [("a", 6), ("b", AT_MS), ("c", 0)].map(is_known);
+    let others = [("a", 6), ("b", AT_MS), ("b", u64::MAX), ("c", 0)].map(is_known);
     insta::assert_compact_debug_snapshot!(
         (same, others),
-        @"([true, true, true, true], [false, false, false])"
+        @"([true, true, true, true], [false, false, false, false])"
     );
     assert!(!departures.contains(HostKey(8), "a", 5, now));
 }
