Bound the keep-alive time that an upstream states

Cause: Connection::return_to adds the stated time to the time of day, which panics when it overflows, and a panic ends the process.

Ruled out, by stating twelve extreme values to real daemons: numbers in heartbeats, in load reports and named limits, and those of callers.

Change: crates/http/keep_alive decodes the header once, to an hour at most; the pool bounds what it is given as well.

No coverage-guided fuzz target for heads was added.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,6 +6,7 @@
 //! to the next request.
 
 use crate::body::{Body, BodyError};
+use crate::keep_alive::MAX_KEEP_ALIVE;
 use crate::reactor::Async;
 use crate::{exec, socket};
 use bytes::{Bytes, BytesMut};
@@ -109,7 +110,8 @@
 }
 
 impl Connection {
-    /// Returns the connection to the pool, where it may stay unused for `timeout`.
+    /// Returns the connection to the pool, where it may stay unused for `timeout`, at most
+    /// [`MAX_KEEP_ALIVE`].
     ///
     /// To be called only after the complete answer has been read and found to belong
     /// to its request.
@@ -120,8 +122,8 @@
         let mut idle = pool.lock();
         let connections = idle.entry(self.to).or_default();
         if connections.len() < pool.max_per_address {
-            connections
-                .push(IdleConnection { sender: self.sender, expires: Instant::now() + timeout });
+            let expires = Instant::now() + timeout.min(MAX_KEEP_ALIVE);
+            connections.push(IdleConnection { sender: self.sender, expires });
         }
     }
 }
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -117,6 +117,8 @@
     pace: Mutex<Option<u16>>,
     /// Whether answers carry the leaving signal.
     leaving: Mutex<bool>,
+    /// Additional headers of answers, which replace others of the same name.
+    headers: Mutex<Vec<(&'static str, String)>>,
     /// The requests that were addressed to this instance.
     arrivals: Mutex<Vec<Arrival>>,
     sends_heartbeats: Mutex<bool>,
@@ -171,6 +173,7 @@
             limit: Mutex::default(),
             pace: Mutex::default(),
             leaving: Mutex::default(),
+            headers: Mutex::default(),
             arrivals: Mutex::default(),
             sends_heartbeats: Mutex::new(true),
             answers_health: Mutex::new(true),
@@ -260,6 +263,11 @@
         *lock(&self.shared.leaving) = true;
     }
 
+    /// Adds headers to all further answers.
+    pub fn state_headers(&self, headers: Vec<(&'static str, String)>) {
+        *lock(&self.shared.headers) = headers;
+    }
+
     /// Returns the requests that reached the instance.
     pub fn arrivals(&self) -> Vec<Arrival> {
         lock(&self.shared.arrivals).clone()
@@ -315,7 +323,7 @@
     pub async fn leave(&self) -> bool {
         *lock(&self.shared.sends_heartbeats) = false;
         let id = lock(&self.shared.id).clone();
-        self.send_to_daemon(Method::DELETE, &id, String::new()).await
+        self.send_report(Method::DELETE, &id, String::new()).await
     }
 
     /// Sends one heartbeat. Returns whether it is acknowledged.
@@ -351,7 +359,18 @@
         if start_ms != 0 {
             heartbeat["born"] = json!(start_ms);
         }
-        self.send_to_daemon(Method::PUT, id, heartbeat.to_string()).await
+        self.send_report(Method::PUT, id, heartbeat.to_string()).await
+    }
+
+    /// Sends a heartbeat with this number in place of its `born`, `Slots`, `Seq` and `ColdMs`, as
+    /// JSON text that need not be a number. Returns whether it is acknowledged.
+    pub async fn send_heartbeat_with_number(&self, id: &str, number: &str) -> bool {
+        let heartbeat = format!(
+            "{{\"Address\":\"{}\",\"born\":{number},\"Info\":{{\"Service\":\"{}\",\"Slots\":{number}}},\
+             \"Status\":{{\"State\":\"ready\",\"Seq\":{number},\"ColdMs\":{number}}}}}",
+            self.addr, self.service
+        );
+        self.send_report(Method::PUT, id, heartbeat).await
     }
 
     /// Returns the ids of the requests whose connection closed during their execution.
@@ -384,7 +403,7 @@
         lock(&self.shared.request_origins).clone()
     }
 
-    async fn send_to_daemon(&self, method: Method, id: &str, body: String) -> bool {
+    async fn send_report(&self, method: Method, id: &str, body: String) -> bool {
         let req = Request::builder()
             .method(method)
             .uri(format!("/cicadashift/instances/{id}"))
@@ -454,6 +473,9 @@
     if *lock(&shared.leaving) {
         set(&mut res, "server-leaving", "1");
     }
+    for (name, value) in lock(&shared.headers).iter() {
+        set(&mut res, name, value);
+    }
     let load_report = *lock(&shared.load_report);
     if let Some(load_report) = load_report {
         set(&mut res, "x-server-load", load_report);
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -23,6 +23,7 @@
 use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::header::HeaderMap;
 use cicadashift_http::hyper::{Request, Response, StatusCode};
+use cicadashift_http::keep_alive;
 use cicadashift_wire::call::{self, Context};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -398,12 +399,8 @@
     if closes {
         return None;
     }
-    let stated = headers::text(head, "keep-alive").and_then(|value| {
-        let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-        seconds.parse::<u64>().ok()
-    });
-    let time = stated.map_or(IDLE_TIMEOUT, Duration::from_secs);
-    Some(time.mul_f64(REUSE_SHARE))
+    let stated = headers::text(head, "keep-alive").and_then(keep_alive::timeout);
+    Some(stated.unwrap_or(IDLE_TIMEOUT).mul_f64(REUSE_SHARE))
 }
 
 fn refuse(
