Let the soak's instances leave, report late and lose their daemon

Instances now leave and go on serving for 6 s, with health that says no or, for half of them, yes; their last heartbeat arrives 0.2 to 4 s late; daemons are killed one to three times in a row, beside an instance that is leaving if there is one. No request that an undisturbed daemon received may reach the instance later than the drain time and the route's timeout after the acknowledgement, which must come within 2 s. SOAK_DAEMONS names the size of the mesh. Restarted instances report the time of day as their start, as the users' do, in place of a time in the past.

The series of a seed is another one than before.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,8 +1,9 @@
 //! A randomized soak test, which injects faults into real daemons and checks the guarantees
 //! of the mesh from the observations of callers and instances.
 //!
-//! The seed determines the faults and their times. `SOAK_SEEDS=1..50 SOAK_SECONDS=8` runs
-//! more seeds than CI does. [`REGRESSIONS`] lists each seed that has failed, with the cause.
+//! The seed determines the faults and their times. `SOAK_SEEDS=1..50 SOAK_SECONDS=12` runs
+//! more seeds than CI does, `SOAK_DAEMONS=24` more daemons. [`REGRESSIONS`] lists each seed
+//! that has failed, with the cause.
 
 mod common;
 
@@ -16,19 +17,17 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
-/// Number of daemons in one run.
-const DAEMONS: usize = 4;
-/// Number of callers in one run; half of them send non-idempotent requests.
-const CALLERS: usize = 8;
+/// Number of daemons in one run, unless `SOAK_DAEMONS` names another.
+const CI_DAEMONS: usize = 4;
+/// Callers for each daemon; half of all callers send non-idempotent requests.
+const CALLERS_PER_DAEMON: usize = 2;
 /// Seeds that CI runs, and the seconds for each.
 const CI_SEEDS: std::ops::Range<u64> = 1..4;
-const CI_SECONDS: u64 = 8;
+const CI_SECONDS: u64 = 12;
 /// Seeds that have failed, with the cause.
 const REGRESSIONS: [(u64, &str); 0] = [];
-/// Lower bound of the start times that restarted instances report, in Unix milliseconds.
-const FIRST_START_MS: u64 = 1_771_000_000_000;
 /// Duration of the store outage before a restore from a copy, and of a restart of an instance.
 const OUTAGE_TIME: Duration = Duration::from_millis(300);
 /// Maximum time until all daemons serve again after the last fault.
@@ -51,6 +50,15 @@
 /// Time after that request, after which a daemon that has forwarded an answer with the limit
 /// must keep to it. Earlier requests are not counted.
 const LIMIT_COUNTED_AFTER: Duration = Duration::from_millis(500);
+/// Time after the acknowledgement from which an instance that leaves gets no new requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time after it was sent in which a request may reach an instance: the timeout of its route.
+const REQUEST_TIME: Duration = Duration::from_millis(1500);
+/// Time for which an instance that leaves goes on serving: several times [`DRAIN_TIME`], so that
+/// faults meet it.
+const SERVES_ON: Duration = Duration::from_secs(6);
+/// Time after which its last heartbeat arrives, at first and at most.
+const LATE_HEARTBEAT: (u64, u64) = (200, 4000);
 /// Time within which every undisturbed daemon must have received an update.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 
@@ -90,6 +98,79 @@
     }
 }
 
+/// An instance that has left and still serves.
+struct Leaving {
+    i: usize,
+    /// Id of the instance when it left.
+    instance: String,
+    /// When its daemon acknowledged that it leaves.
+    acknowledged: Instant,
+    /// When its last heartbeat arrives, until it has.
+    late_heartbeat: Option<Instant>,
+    /// When it ended and another incarnation started.
+    ended: Option<Instant>,
+}
+
+/// The instances that left in a run.
+#[derive(Default)]
+struct Leavings {
+    all: Vec<Leaving>,
+}
+
+impl Leavings {
+    fn is_leaving(&self, i: usize) -> bool {
+        self.all.iter().any(|leaving| leaving.i == i && leaving.ended.is_none())
+    }
+
+    /// Has an instance leave, which goes on serving.
+    async fn begin(&mut self, fleet: &HostedFleet, random: &mut Random, i: usize) -> String {
+        let (first, most) = LATE_HEARTBEAT;
+        let late_by = Duration::from_millis(first + random.below(most - first));
+        let denies_health = random.below(2) == 0;
+        if self.is_leaving(i) {
+            return format!("instance {i} is leaving already");
+        }
+        let instance = &fleet.daemons[i].instance;
+        let began = Instant::now();
+        if !instance.leave().await {
+            instance.set_heartbeats(true);
+            return format!("instance {i} leaves, not acknowledged");
+        }
+        instance.deny_health(denies_health);
+        let acknowledged = Instant::now();
+        assert!(acknowledged - began < Duration::from_secs(2), "{:?}", acknowledged - began);
+        self.all.push(Leaving {
+            i,
+            instance: instance.id(),
+            acknowledged,
+            late_heartbeat: Some(acknowledged + late_by),
+            ended: None,
+        });
+        format!("instance {i} leaves, its last heartbeat {late_by:?} late")
+    }
+
+    /// Delivers the late heartbeats that are due, and ends instances that have served on.
+    async fn advance(&mut self, fleet: &HostedFleet, limits: &mut Limits) {
+        let now = Instant::now();
+        for leaving in self.all.iter_mut().filter(|leaving| leaving.ended.is_none()) {
+            let instance = &fleet.daemons[leaving.i].instance;
+            if leaving.late_heartbeat.is_some_and(|at| now >= at) {
+                leaving.late_heartbeat = None;
+                let late = instance.send_heartbeat_as(&leaving.instance, 0, false);
+                // The timeout keeps a frozen or stopped daemon from delaying all other faults.
+                let _any_outcome = exec::timeout(OUTAGE_TIME, late).await;
+            }
+            if now >= leaving.acknowledged + SERVES_ON {
+                leaving.ended = Some(Instant::now());
+                limits.name(fleet, leaving.i, None);
+                instance.deny_health(false);
+                let restarted = instance.restart_at(unix_ms());
+                let _any_outcome = exec::timeout(OUTAGE_TIME, restarted).await;
+            }
+        }
+    }
+}
+
 /// The operator, who writes configurations and restores the store.
 struct Operator {
     version: u64,
@@ -190,40 +271,48 @@
 
 async fn soak(seed: u64, time: Duration) {
     let program = Path::new(env!("CARGO_BIN_EXE_cicadashift"));
-    let mut fleet = HostedFleet::serving(program, DAEMONS).await;
+    let daemons = daemons();
+    let mut fleet = HostedFleet::serving(program, daemons).await;
     fleet.put_config(2, &["/notices/", "/lift/"]);
-    for i in 0..DAEMONS {
+    for i in 0..daemons {
         let is_served =
             async |fleet: &HostedFleet| fleet.status(i, "/lift/0", "k").await == Some(200);
         assert!(fleet.wait(is_served).await, "seed {seed}: daemon {i} serves the first version");
     }
     let outcomes = Outcomes::default();
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..CALLERS)
+    let callers: Vec<_> = (0..daemons * CALLERS_PER_DAEMON)
         .map(|n| {
-            exec::spawn(call(seed, n, fleet.caller(n % DAEMONS), outcomes.clone(), stop.clone()))
+            exec::spawn(call(seed, n, fleet.caller(n % daemons), outcomes.clone(), stop.clone()))
         })
         .collect();
-    let fatal_caller = exec::spawn(call_fatal((0..DAEMONS).map(|i| fleet.caller(i)).collect()));
+    let fatal_caller = exec::spawn(call_fatal((0..daemons).map(|i| fleet.caller(i)).collect()));
     let mut random = Random(seed);
     let mut fault_log = Vec::new();
     let mut operator = Operator { version: 2, copy: None };
     let mut disturbances = Disturbances::default();
     let mut limits = Limits::default();
+    let mut leavings = Leavings::default();
     let until = Instant::now() + time;
     while Instant::now() < until {
-        fault_log.push(
-            inject_fault(&mut fleet, &mut random, &mut operator, &mut disturbances, &mut limits)
-                .await,
-        );
+        leavings.advance(&fleet, &mut limits).await;
+        let mut run = Run {
+            fleet: &mut fleet,
+            operator: &mut operator,
+            disturbances: &mut disturbances,
+            limits: &mut limits,
+            leavings: &mut leavings,
+        };
+        fault_log.push(inject_fault(&mut run, &mut random).await);
         smol::Timer::after(Duration::from_millis(100 + random.below(500))).await;
     }
     fatal_caller.cancel().await;
     check_fatal_runs(seed, &fleet, &disturbances, &fault_log);
     check_limits(seed, &fleet, &limits, &disturbances, &fault_log);
+    check_leavings(seed, &fleet, &leavings, &disturbances, &fault_log);
     end_faults(&mut fleet).await;
     let faults_ended = Instant::now();
-    for i in 0..DAEMONS {
+    for i in 0..daemons {
         let mut n = 0;
         let served = async |fleet: &HostedFleet| {
             fleet.status(i, "/notices/1", &format!("end-{seed}-{i}")).await == Some(200)
@@ -356,23 +445,82 @@
     eprintln!("seed {seed}: {} limits named, {checked} windows", limits.spans.len());
 }
 
+/// Checks that no request which an undisturbed daemon received reached an instance that had
+/// left, however often the daemon beside the instance was killed.
+///
+/// Requests are counted from [`DRAIN_TIME`] after the acknowledgement, and [`REQUEST_TIME`]
+/// after that, since they may have been sent earlier.
+fn check_leavings(
+    seed: u64,
+    fleet: &HostedFleet,
+    leavings: &Leavings,
+    disturbances: &Disturbances,
+    fault_log: &[String],
+) {
+    for leaving in &leavings.all {
+        let from = leaving.acknowledged + DRAIN_TIME + REQUEST_TIME;
+        let until = leaving.ended.unwrap_or_else(Instant::now);
+        let arrivals = fleet.daemons[leaving.i].instance.arrivals();
+        let late: Vec<_> = arrivals
+            .iter()
+            .filter(|arrival| arrival.instance == leaving.instance)
+            .filter(|arrival| arrival.at > from && arrival.at < until)
+            .filter(|arrival| disturbances.undisturbed(entry_of(&arrival.id), arrival.at))
+            .map(|arrival| (&arrival.id, arrival.at - leaving.acknowledged))
+            .collect();
+        let i = leaving.i;
+        assert!(
+            late.is_empty(),
+            "seed {seed}: instance {i} had left: {} late, {late:?} after {fault_log:?}; {}",
+            late.len(),
+            upstream_lines(&fleet.log(i))
+        );
+    }
+    eprintln!("seed {seed}: {} instances left", leavings.all.len());
+}
+
+/// Returns the lines of a log that tell of starts and upstreams.
+fn upstream_lines(log: &str) -> String {
+    let lines = log.lines().filter(|line| {
+        !line.contains("\"event\"") && (line.contains("upstream") || line.contains("started:"))
+    });
+    lines.map(|line| format!("\n{line}")).collect()
+}
+
+/// Returns the time of day in Unix milliseconds, which instances report as their start.
+fn unix_ms() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_1970.expect("the clock is past 1970").as_millis() as u64
+}
+
+/// Returns the number of daemons in one run.
+fn daemons() -> usize {
+    let named = std::env::var("SOAK_DAEMONS").ok().and_then(|text| text.parse().ok());
+    named.unwrap_or(CI_DAEMONS)
+}
+
 /// Returns the index of the entry daemon of a request, from the request id.
 fn entry_of(id: &str) -> usize {
     let caller = id.rsplit('-').nth(1).and_then(|n| n.parse::<usize>().ok());
     let fatal = id.split(' ').next().and_then(|n| n.parse().ok());
-    caller.or(fatal).map_or(0, |n| n % DAEMONS)
+    caller.or(fatal).map_or(0, |n| n % daemons())
+}
+
+/// What faults change in one run.
+struct Run<'a> {
+    fleet: &'a mut HostedFleet,
+    operator: &'a mut Operator,
+    disturbances: &'a mut Disturbances,
+    limits: &'a mut Limits,
+    leavings: &'a mut Leavings,
 }
 
 /// Injects or ends one random fault. Returns its description.
-async fn inject_fault(
-    fleet: &mut HostedFleet,
-    random: &mut Random,
-    operator: &mut Operator,
-    disturbances: &mut Disturbances,
-    limits: &mut Limits,
-) -> String {
-    let i = random.below(DAEMONS as u64) as usize;
-    match random.below(20) {
+async fn inject_fault(run: &mut Run<'_>, random: &mut Random) -> String {
+    let Run { fleet, operator, disturbances, limits, leavings } = run;
+    let count = fleet.daemons.len();
+    let i = random.below(count as u64) as usize;
+    match random.below(24) {
         0 => {
             disturbances.once(i);
             fleet.kill(i);
@@ -385,7 +533,7 @@
             format!("{i} frozen")
         }
         2 | 3 => {
-            (0..DAEMONS).for_each(|i| {
+            (0..count).for_each(|i| {
                 fleet.signal(i, "-CONT");
                 disturbances.resume(i);
             });
@@ -436,7 +584,7 @@
             fleet.daemons[i].instance.set_service_time(Duration::from_millis(random.below(80)));
             format!("instance {i} answers normally")
         }
-        12 => {
+        12 if !leavings.is_leaving(i) => {
             fleet.daemons[i].instance.crash();
             format!("instance {i} crashes")
         }
@@ -454,14 +602,21 @@
             limits.name(fleet, i, None);
             format!("instance {i} names no limit")
         }
-        18 => {
+        18 if !leavings.is_leaving(i) => {
             fleet.daemons[i].instance.signal_leaving();
             limits.name(fleet, i, None);
             smol::Timer::after(OUTAGE_TIME).await;
-            let start_ms = FIRST_START_MS + operator.version * 1000 + random.below(1000);
-            fleet.daemons[i].instance.restart_at(start_ms).await;
+            fleet.daemons[i].instance.restart_at(unix_ms()).await;
             format!("instance {i} leaves and starts again")
         }
+        19 | 20 => leavings.begin(fleet, random, i).await,
+        21 => {
+            // The daemon beside an instance that is leaving, if there is one.
+            let leaving = leavings.all.iter().rev().find(|leaving| leaving.ended.is_none());
+            let i = leaving.map_or(i, |leaving| leaving.i);
+            kill_in_series(fleet, disturbances, i, 1 + random.below(3)).await;
+            format!("{i} killed in series")
+        }
         _ => {
             operator.version += 1;
             operator.write(fleet);
@@ -470,14 +625,31 @@
     }
 }
 
+/// Kills a daemon several times, and starts it again each time.
+async fn kill_in_series(
+    fleet: &mut HostedFleet,
+    disturbances: &mut Disturbances,
+    i: usize,
+    times: u64,
+) {
+    for _ in 0..times {
+        disturbances.once(i);
+        fleet.kill(i);
+        fleet.restart(i);
+        smol::Timer::after(Duration::from_millis(50)).await;
+    }
+}
+
 /// Ends all faults and restarts the stopped daemons.
 async fn end_faults(fleet: &mut HostedFleet) {
+    let count = fleet.daemons.len();
     fleet.store.change_faults(|faults| faults.down = None);
-    for i in 0..DAEMONS {
+    for i in 0..count {
         fleet.signal(i, "-CONT");
         fleet.daemons[i].store_link.cut(false);
         fleet.daemons[i].instance.set_answer_mode(AnswerMode::Normal);
         fleet.daemons[i].instance.name_limit(None);
+        fleet.daemons[i].instance.deny_health(false);
         if fleet.exit_code(i).is_some() {
             fleet.restart(i);
         }
@@ -486,7 +658,7 @@
     // drain timeout and is then restarted.
     let until = Instant::now() + Duration::from_secs(5);
     while Instant::now() < until {
-        for i in 0..DAEMONS {
+        for i in 0..count {
             if fleet.exit_code(i).is_some() {
                 fleet.restart(i);
             }
