Keep imports of the daemon's modules one way

Departures and the health request had brought circles into src/daemon: gates asked greet for an upstream's health, which announces to gates, and departures split names in in_band, which records departures. The health request is a module of its own now, and the names of incarnations are made and split in one place, in core ids.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -100,6 +100,27 @@
     }
 }
 
+/// Separates the instance id from the start time in the name of an incarnation.
+const START_SEPARATOR: char = '@';
+
+/// Returns the name in the mesh of an incarnation of an instance. A start time of zero is
+/// unknown; the name is then the instance's id.
+pub fn incarnation_name(instance: &str, start: u64) -> String {
+    match start {
+        0 => instance.to_string(),
+        start => format!("{instance}{START_SEPARATOR}{start}"),
+    }
+}
+
+/// Splits the name of an incarnation into the instance id and the start time, if the name
+/// has one.
+pub fn split_incarnation_name(name: &str) -> (&str, Option<u64>) {
+    match name.split_once(START_SEPARATOR) {
+        Some((instance, start)) => (instance, start.parse().ok()),
+        None => (name, None),
+    }
+}
+
 /// Identifies one incarnation of an upstream: a restarted upstream has another key.
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Debug, Default,
--- a/crates/core/src/membership/departures.rs
+++ b/crates/core/src/membership/departures.rs
@@ -14,7 +14,7 @@
 //! all daemons that hold a departure end within seconds, it is lost; [`super::reports`]
 //! then requires other evidence before it announces an upstream.
 
-use crate::ids::{HostKey, IncarnationKey};
+use crate::ids::{HostKey, IncarnationKey, incarnation_name};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -56,7 +56,7 @@
 
     /// Returns the key of the departure.
     pub fn key(&self) -> (HostKey, IncarnationKey) {
-        (self.host, IncarnationKey::of(&format!("{}@{}", self.instance, self.start)))
+        (self.host, IncarnationKey::of(&incarnation_name(&self.instance, self.start)))
     }
 }
 
--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -11,9 +11,8 @@
 //! A daemon that reaches no other acknowledges all the same, since the promise binds it in
 //! any case, and tells the others as soon as it reaches one.
 
-use super::in_band::split_name;
 use super::{Daemon, datagrams, lock, peers};
-use cicadashift_core::ids::{HostKey, IncarnationKey};
+use cicadashift_core::ids::{HostKey, IncarnationKey, split_incarnation_name};
 use cicadashift_core::membership::departures::{Departure, Departures};
 use cicadashift_core::membership::gossip::Queue;
 use cicadashift_core::membership::record::Readiness;
@@ -114,7 +113,7 @@
 fn is_selectable(d: &Daemon, departure: &Departure) -> bool {
     d.members.get(departure.host).is_some_and(|record| {
         record.endpoints.iter().any(|endpoint| {
-            let (instance, _) = split_name(&endpoint.instance);
+            let (instance, _) = split_incarnation_name(&endpoint.instance);
             instance == departure.instance && endpoint.readiness != Readiness::Draining
         })
     })
--- a/src/daemon/gates/local.rs
+++ b/src/daemon/gates/local.rs
@@ -3,7 +3,7 @@
 use super::end_check::EndCheck;
 use crate::clock::Clock;
 use crate::daemon::{Daemon, lock};
-use cicadashift_core::ids::CallDigest;
+use cicadashift_core::ids::{CallDigest, incarnation_name};
 use cicadashift_core::membership::record::{Endpoint, Readiness};
 use cicadashift_core::membership::reports::{LATE_REPORT_WINDOW, ReportId};
 use cicadashift_core::membership::silence::{Action, Health, REPORT_TIMEOUT, Silence, Usage};
@@ -91,10 +91,7 @@
         let connections = usize::from(announcement.slots);
         let address = announcement.address;
         let instance = announcement.instance.clone();
-        let name = match announcement.start {
-            0 => instance.clone(),
-            start => format!("{instance}@{start}"),
-        };
+        let name = incarnation_name(&instance, announcement.start);
         let state = LocalState {
             gate,
             is_leaving: announcement.readiness == Readiness::Draining,
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -5,7 +5,7 @@
 pub mod ended;
 pub mod local;
 
-use super::{Daemon, departures, greet, lock};
+use super::{Daemon, departures, health, lock};
 use cicadashift_core::membership::departures::Departure;
 use cicadashift_core::membership::record::{Endpoint, Readiness};
 use cicadashift_core::membership::reports::{Credibility, ReportHistory, ReportId};
@@ -233,7 +233,7 @@
 fn check_health(d: &Arc<Daemon>, local: Arc<LocalUpstream>) {
     let d = d.clone();
     exec::spawn(async move {
-        let answer = greet::request_health(&d, local.address, &local.instance).await;
+        let answer = health::request(&d, local.address, &local.instance).await;
         local.record_health(answer);
     })
     .detach();
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -11,24 +11,17 @@
 
 use super::gates::Evidence;
 use super::in_band::{self, Signals};
-use super::request::headers;
-use super::{Daemon, departures};
-use bytes::Bytes;
+use super::{Daemon, departures, health};
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::membership::silence::Health;
 use cicadashift_edge::interface::Announcement;
-use cicadashift_http::body;
-use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
-use cicadashift_http::hyper::header::HeaderMap;
-use cicadashift_http::hyper::{Request, Response, StatusCode};
+use cicadashift_http::hyper::StatusCode;
 use cicadashift_http::reactor::Timer;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Timeout of a request; an upstream whose slots are all busy answers late.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest wait for a report to be confirmed; the upstream waits a second for its answer.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
 /// Most requests that are sent; after them the upstream's own report is due soon.
@@ -37,8 +30,6 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// Interval of checks for the first configuration, which names the health path.
 const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Largest response body, in bytes.
-const MAX_BODY: usize = 4096;
 
 /// Sends health requests until the upstream on this host is registered, at most `ATTEMPTS`.
 pub async fn run(d: Arc<Daemon>) {
@@ -81,33 +72,21 @@
 pub async fn confirm(d: &Daemon, report: &Announcement) -> bool {
     let confirmed = async {
         departures::wait_until_restored(d, d.gates.started()).await;
-        request_health(d, report.address, &report.instance).await == Health::Good
+        health::request(d, report.address, &report.instance).await == Health::Good
     };
     exec::timeout(CONFIRM_TIMEOUT, confirmed).await.unwrap_or(false)
 }
 
-/// Asks for the health of an instance at an address.
-pub async fn request_health(d: &Daemon, address: SocketAddr, instance: &str) -> Health {
-    let Some(res) = send_health_request(d, address).await else { return Health::Unknown };
-    let is_other = instance_of(d, res.headers()).is_some_and(|other| other != instance);
-    match res.status() {
-        StatusCode::OK if !is_other => Health::Good,
-        // An upstream without a free slot rejects health requests like any other.
-        _ if !is_other && res.headers().contains_key(&d.dialect.not_run) => Health::Unknown,
-        _ => Health::Denied,
-    }
-}
-
 /// Sends a health request, and returns the announcement and in-band signals in its answer.
 async fn request_identity(d: &Daemon, address: SocketAddr) -> Option<(Announcement, Signals)> {
     let service = d.settings.services.first()?;
-    let res = send_health_request(d, address).await?;
+    let res = health::send_request(d, address).await?;
     if res.status() != StatusCode::OK {
         return None;
     }
     let signals = Signals::of(d, res.headers());
     let announced = Announcement {
-        instance: instance_of(d, res.headers())?.to_string(),
+        instance: health::instance_of(d, res.headers())?.to_string(),
         start: 0,
         service: service.clone(),
         // Only the upstream's own reports name it.
@@ -121,15 +100,3 @@
     };
     Some((announced, signals))
 }
-
-async fn send_health_request(d: &Daemon, address: SocketAddr) -> Option<Response<Bytes>> {
-    let path = d.versions.health_path(d.settings.services.first()?)?;
-    let req = Request::get(path).header("host", address.to_string()).body(body::empty()).ok()?;
-    let result = Pool::new(1).exchange(address, req, MAX_BODY, REQUEST_TIMEOUT).await;
-    result.inspect_err(|err| log::info!("upstream {address}: {err}")).ok()
-}
-
-/// Returns the id of the instance that answered.
-fn instance_of<'a>(d: &Daemon, head: &'a HeaderMap) -> Option<&'a str> {
-    headers::text(head, d.dialect.instance.as_ref()?.as_str())
-}
--- a/src/daemon/in_band.rs
+++ b/src/daemon/in_band.rs
@@ -11,7 +11,7 @@
 use super::gates::local::LocalUpstream;
 use super::request::headers;
 use super::{Daemon, departures, lock};
-use cicadashift_core::ids::HostKey;
+use cicadashift_core::ids::{HostKey, split_incarnation_name};
 use cicadashift_core::membership::departures::Departure;
 use cicadashift_core::request::gate::pace::{LimitChange, NamedLimit};
 use cicadashift_core::request::machine::{MachinePace, UpstreamLoad};
@@ -23,8 +23,6 @@
 
 /// Time without an answer from an upstream after which an entry daemon forgets its limit.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
-/// Separates the instance id from the start time in an upstream's name in the mesh.
-const START_SEPARATOR: char = '@';
 
 /// Signals of one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -133,7 +131,7 @@
 /// `name`, if the upstream signalled that it is leaving.
 pub fn departure(host: HostKey, name: &str, head: &HeaderMap) -> Option<Departure> {
     let reported = headers::number(head, call::LEAVING_START)?;
-    let (instance, start) = split_name(name);
+    let (instance, start) = split_incarnation_name(name);
     // Only the clock of the upstream's host could tell when it left.
     let at_ms = 0;
     Some(Departure::new(host, instance, start.unwrap_or(reported), at_ms))
@@ -160,7 +158,7 @@
     pub fn record(&self, host: HostKey, name: &str, head: &HeaderMap, now: Instant) {
         let limit = headers::number(head, call::LIMIT_THOUSANDTHS);
         let limit = limit.map(|number| NamedLimit::from_thousandths(number as u32));
-        let (instance, start) = split_name(name);
+        let (instance, start) = split_incarnation_name(name);
         let mut rows = lock(&self.rows);
         let key = (host, instance.to_string());
         if limit.is_none() && !rows.contains_key(&key) {
@@ -179,7 +177,7 @@
 
     /// Returns the limit that an upstream named last, if any.
     pub fn limit(&self, host: HostKey, name: &str) -> Option<NamedLimit> {
-        let (instance, start) = split_name(name);
+        let (instance, start) = split_incarnation_name(name);
         let rows = lock(&self.rows);
         if rows.is_empty() {
             return None;
@@ -199,12 +197,3 @@
         }
     }
 }
-
-/// Splits an upstream's name in the mesh into the instance id and the start time, if the
-/// name has one.
-pub fn split_name(name: &str) -> (&str, Option<u64>) {
-    match name.split_once(START_SEPARATOR) {
-        Some((instance, start)) => (instance, start.parse().ok()),
-        None => (name, None),
-    }
-}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -26,6 +26,7 @@
 pub mod gateway;
 pub mod gossip;
 pub mod greet;
+pub mod health;
 pub mod in_band;
 pub mod limits;
 pub mod liveness;
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -1,8 +1,7 @@
 //! Upstream selection and retry budgets of each service, sharded by service.
 
-use super::in_band::split_name;
 use super::{Daemon, lock};
-use cicadashift_core::ids::HostKey;
+use cicadashift_core::ids::{HostKey, split_incarnation_name};
 use cicadashift_core::membership::record::{Endpoint, Health, Readiness, Record};
 use cicadashift_core::request::choose::{
     Choice, Demand, Locality, Outcome, Picker, Policy, UpstreamInfo, UpstreamKey,
@@ -265,7 +264,7 @@
             let Endpoint { service, version, instance, .. } = endpoint;
             let name = d.rollouts.lane_name(service, version, instance)?;
             // Whatever its host reports: its daemon may have forgotten in a restart.
-            let (id, start) = split_name(instance);
+            let (id, start) = split_incarnation_name(instance);
             let is_leaving = d.departures.contains(record.host, id, start.unwrap_or(0), now);
             let info = UpstreamInfo {
                 host: record.host,
