--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -175,6 +175,11 @@
     });
 }
 
+/// Returns the daemon that logged that it is the decider.
+fn find_decider(fleet: &HostedFleet) -> Option<usize> {
+    (0..fleet.daemons.len()).find(|i| fleet.log(*i).contains("this daemon is the decider"))
+}
+
 #[test]
 fn another_daemon_takes_over_when_the_decider_is_killed() {
     // The decider is killed in the canary phase. Its key expires after two seconds; then
@@ -184,8 +189,10 @@
         let load = Load::start(&fleet, 12);
         order(&fleet, "v2");
         wait_until_running(&fleet).await;
-        let decider = (0..6).find(|i| fleet.log(*i).contains("this daemon is the decider"));
-        let decider = decider.expect("a daemon is the decider");
+        // The log thread may write the line after the store has the state.
+        let is_logged = async |fleet: &HostedFleet| find_decider(fleet).is_some();
+        assert!(fleet.wait(is_logged).await, "no daemon is the decider: {}", logs(&fleet));
+        let decider = find_decider(&fleet).expect("a daemon is the decider");
         fleet.kill(decider);
         fleet.restart(decider);
         let completed = wait_for_state(&fleet, "completed", DURATION).await;
