Ignore late reports of a departed instance whose address another one has

A daemon that was restarted, and learned from others that an instance had left, took its late heartbeat for a report of draining. Where another instance had the address by then, that one was removed as replaced, and its own reports were ignored as those of an ended one: it got no requests until its daemon started again.

Such a report is ignored now, and a late report of draining counts as harmless only where it displaces nobody.

--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -15,6 +15,7 @@
 use cicadashift_http::reactor::Timer;
 use local::{Load, LocalUpstream};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -70,8 +71,15 @@
             log::info!("upstream {instance} is leaving, as other daemons remember");
             announcement.readiness = Readiness::Draining;
         }
-        let Announced { credibility, is_changed, replaced } =
-            lock(&self.inner).announce(announcement, evidence, now);
+        let Announced { credibility, is_changed, replaced } = {
+            let mut inner = lock(&self.inner);
+            // An instance that left has no address any more that another one answers at.
+            if is_departed && inner.has_other_at(announcement.address, &announcement.instance) {
+                log::info!("upstream {} has left; late report ignored", announcement.instance);
+                return Credibility::Outdated;
+            }
+            inner.announce(announcement, evidence, now)
+        };
         for local in replaced {
             local.drain();
         }
@@ -249,7 +257,8 @@
         let (name, start) = (announcement.instance.clone(), announcement.start);
         let found = self.find_instance(&name);
         let report = ReportId { instance: name.clone(), start, sequence: announcement.sequence };
-        let is_harmless = announcement.readiness == Readiness::Draining;
+        let is_harmless = announcement.readiness == Readiness::Draining
+            && !self.has_other_at(announcement.address, &name);
         match self.history.judge(&report, found.is_some(), now) {
             Credibility::Outdated => {
                 log::info!("upstream {name} has ended; late report ignored");
@@ -298,6 +307,12 @@
         Announced { credibility: Credibility::Current, is_changed: true, replaced: removed }
     }
 
+    /// Returns whether another instance than this one has an address.
+    fn has_other_at(&self, address: SocketAddr, instance: &str) -> bool {
+        let mut locals = self.by_name.values();
+        locals.any(|local| local.address == address && local.instance != instance)
+    }
+
     /// Returns the upstream of an instance, if it is on this host.
     fn find_instance(&self, instance: &str) -> Option<Arc<LocalUpstream>> {
         self.by_name.values().find(|local| local.instance == instance).cloned()
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -216,6 +216,30 @@
     });
 }
 
+#[test]
+fn a_late_heartbeat_of_an_instance_that_left_displaces_no_other() {
+    // Guards against a daemon that learns from others that an instance left, takes its late
+    // heartbeat for a report of draining, and removes the instance that has its address now.
+    run(async {
+        let mut fleet = serving(2).await;
+        let instance: Arc<Instance> = fleet.daemons[1].instance.clone();
+        leave(&instance, Leaving::Withdrawn).await;
+        instance.replace_id("i-9");
+        instance.set_heartbeats(true);
+        for draining in [false, true] {
+            fleet.kill(1);
+            fleet.restart(1);
+            let known = async |fleet: &HostedFleet| fleet.sees_instances(1, 2).await;
+            assert!(fleet.wait(known).await, "{}", events(&fleet, 1));
+            assert!(instance.send_heartbeat_as("i-1", 500, draining).await);
+            for _ in 0..10 {
+                assert!(fleet.sees_instances(1, 2).await, "{}", events(&fleet, 1));
+                smol::Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+    });
+}
+
 #[test]
 fn an_instance_in_use_that_neither_reports_nor_is_healthy_gets_no_new_requests() {
     // Guards against an upstream that has left without this daemon's knowledge, and is kept as
