Ask for departures sooner after a start, and announce without a health path

After a start the daemon asked three others for the departures of its host and waited for all of them to fail before it asked again. In a cut one of the three is beyond it, so it waited half a second and more. And before its first configuration it knows no health path, so that only a second report announced its upstream, 1.5 s later, though calls of other daemons could be served.

It now asks further daemons while it waits, from 50 ms on, and before the first configuration their word is enough to believe a report.

--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -35,10 +35,10 @@
 /// this host. A daemon that finds no other goes by what the upstream itself says.
 const RESTORE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval of checks whether the departures of this host have been returned.
-const RESTORE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const RESTORE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// First and longest time between two attempts to ask other daemons after a start.
 const RESTORE_BACKOFF: (Duration, Duration) =
-    (Duration::from_millis(20), Duration::from_millis(1000));
+    (Duration::from_millis(50), Duration::from_millis(1000));
 /// Time after which other daemons are asked again, since a departure may still have been on
 /// its way to those that were asked first.
 const SECOND_RESTORE_DELAY: Duration = Duration::from_millis(1500);
@@ -69,6 +69,11 @@
         lock(&self.known).of_host(host, now)
     }
 
+    /// Returns whether another daemon has returned the departures of this host since the start.
+    pub fn is_restored(&self) -> bool {
+        self.is_restored.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of departures known.
     pub fn count(&self) -> usize {
         lock(&self.known).len()
@@ -138,6 +143,7 @@
             match peers::ask(&d, to, &request, REPLICATION_TIMEOUT).await {
                 Ok(Response::Departures(departures)) => {
                     merge(&d, &departures);
+                    d.departures.is_restored.store(true, Ordering::Relaxed);
                     let _another_answered_first = tx.try_send(());
                 }
                 Ok(_) => log::debug!("{to}: unexpected answer about departures"),
@@ -159,11 +165,14 @@
 /// Asks other daemons for the departures of this host after a start, twice.
 pub async fn run(d: Arc<Daemon>) {
     let mut pause = RESTORE_BACKOFF.0;
-    while !restore(&d).await {
-        Timer::after(pause).await;
+    while !d.departures.is_restored() {
+        let answered = exec::timeout(pause, restore(&d)).await;
+        // While an answer is awaited, others are asked as well: those asked first may be down.
+        if answered == Some(false) {
+            Timer::after(pause).await;
+        }
         pause = pause.mul_f64(1.5).min(RESTORE_BACKOFF.1);
     }
-    d.departures.is_restored.store(true, Ordering::Relaxed);
     Timer::after(SECOND_RESTORE_DELAY).await;
     restore(&d).await;
 }
@@ -176,7 +185,7 @@
 /// [`RESTORE_TIMEOUT`] after `started`.
 pub async fn wait_until_restored(d: &Daemon, started: Instant) {
     let until = started + RESTORE_TIMEOUT;
-    while !d.departures.is_restored.load(Ordering::Relaxed) && d.clock.now() < until {
+    while !d.departures.is_restored() && d.clock.now() < until {
         Timer::after(RESTORE_POLL_INTERVAL).await;
     }
 }
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -67,12 +67,19 @@
     }
 }
 
-/// Returns whether the health of an upstream confirms a report of it, which may be late.
+/// Returns whether a report, which may be late, is confirmed by the health of its upstream.
 /// Other daemons are heard first, if there are any: they know whether the upstream left.
+///
+/// Before the first configuration, which names the health path, the word of the others is
+/// enough.
 pub async fn confirm(d: &Daemon, report: &Announcement) -> bool {
     let confirmed = async {
         departures::wait_until_restored(d, d.gates.started()).await;
-        health::request(d, report.address, &report.instance).await == Health::Good
+        match health::request(d, report.address, &report.instance).await {
+            Health::Good => true,
+            Health::Denied => false,
+            Health::Unknown => d.versions.running_version() == 0 && d.departures.is_restored(),
+        }
     };
     exec::timeout(CONFIRM_TIMEOUT, confirmed).await.unwrap_or(false)
 }
