Split the soak's leavings into a module of their own

tests/soak.rs had grown to 689 lines with two jobs: the series of faults, and the bookkeeping and check of instances that leave.

--- /dev/null
+++ b/tests/soak/leavings.rs
@@ -0,0 +1,138 @@
+//! Instances that leave and go on serving, with a late heartbeat, while daemons are killed.
+
+use super::{Disturbances, Limits, OUTAGE_TIME, Random, entry_of, unix_ms};
+use cicadashift_http::exec;
+use cicadashift_testkit::hosted::fleet::HostedFleet;
+use std::time::{Duration, Instant};
+
+/// Time after the acknowledgement from which an instance that leaves gets no new requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time after it was sent in which a request may reach an instance: the timeout of its route.
+const REQUEST_TIME: Duration = Duration::from_millis(1500);
+/// Time for which an instance that leaves goes on serving: several times [`DRAIN_TIME`], so that
+/// faults meet it.
+const SERVES_ON: Duration = Duration::from_secs(6);
+/// Least and longest delay of its last heartbeat, in milliseconds.
+const LATE_HEARTBEAT: (u64, u64) = (200, 4000);
+
+/// An instance that has left and still serves.
+struct Leaving {
+    i: usize,
+    /// Id of the instance when it left.
+    instance: String,
+    /// When its daemon acknowledged that it leaves.
+    acknowledged: Instant,
+    /// When its last heartbeat arrives, until it has.
+    late_heartbeat: Option<Instant>,
+    /// When it ended and another incarnation started.
+    ended: Option<Instant>,
+}
+
+/// The instances that left in a run.
+#[derive(Default)]
+pub struct Leavings {
+    all: Vec<Leaving>,
+}
+
+impl Leavings {
+    /// Returns the daemon beside the instance that left last and still serves.
+    pub fn last(&self) -> Option<usize> {
+        let mut leaving = self.all.iter().rev().filter(|leaving| leaving.ended.is_none());
+        leaving.next().map(|leaving| leaving.i)
+    }
+
+    /// Returns whether the instance beside a daemon has left and still serves.
+    pub fn is_leaving(&self, i: usize) -> bool {
+        self.all.iter().any(|leaving| leaving.i == i && leaving.ended.is_none())
+    }
+
+    /// Has an instance leave, which goes on serving.
+    pub async fn begin(&mut self, fleet: &HostedFleet, random: &mut Random, i: usize) -> String {
+        let (first, most) = LATE_HEARTBEAT;
+        let late_by = Duration::from_millis(first + random.below(most - first));
+        let denies_health = random.below(2) == 0;
+        if self.is_leaving(i) {
+            return format!("instance {i} is leaving already");
+        }
+        let instance = &fleet.daemons[i].instance;
+        let began = Instant::now();
+        if !instance.leave().await {
+            instance.set_heartbeats(true);
+            return format!("instance {i} leaves, not acknowledged");
+        }
+        instance.deny_health(denies_health);
+        let acknowledged = Instant::now();
+        assert!(acknowledged - began < Duration::from_secs(2), "{:?}", acknowledged - began);
+        self.all.push(Leaving {
+            i,
+            instance: instance.id(),
+            acknowledged,
+            late_heartbeat: Some(acknowledged + late_by),
+            ended: None,
+        });
+        format!("instance {i} leaves, its last heartbeat {late_by:?} late")
+    }
+
+    /// Delivers the late heartbeats that are due, and ends instances that have served on.
+    pub async fn advance(&mut self, fleet: &HostedFleet, limits: &mut Limits) {
+        let now = Instant::now();
+        for leaving in self.all.iter_mut().filter(|leaving| leaving.ended.is_none()) {
+            let instance = &fleet.daemons[leaving.i].instance;
+            if leaving.late_heartbeat.is_some_and(|at| now >= at) {
+                leaving.late_heartbeat = None;
+                let late = instance.send_heartbeat_as(&leaving.instance, 0, false);
+                // The timeout keeps a frozen or stopped daemon from delaying all other faults.
+                let _any_outcome = exec::timeout(OUTAGE_TIME, late).await;
+            }
+            if now >= leaving.acknowledged + SERVES_ON {
+                leaving.ended = Some(Instant::now());
+                limits.name(fleet, leaving.i, None);
+                instance.deny_health(false);
+                let restarted = instance.restart_at(unix_ms());
+                let _any_outcome = exec::timeout(OUTAGE_TIME, restarted).await;
+            }
+        }
+    }
+}
+
+/// Checks that no request which an undisturbed daemon received reached an instance that had
+/// left, however often the daemon beside the instance was killed.
+///
+/// Requests are counted from [`DRAIN_TIME`] after the acknowledgement, and [`REQUEST_TIME`]
+/// after that, since they may have been sent earlier.
+pub fn check(
+    seed: u64,
+    fleet: &HostedFleet,
+    leavings: &Leavings,
+    disturbances: &Disturbances,
+    fault_log: &[String],
+) {
+    for leaving in &leavings.all {
+        let from = leaving.acknowledged + DRAIN_TIME + REQUEST_TIME;
+        let until = leaving.ended.unwrap_or_else(Instant::now);
+        let arrivals = fleet.daemons[leaving.i].instance.arrivals();
+        let late: Vec<_> = arrivals
+            .iter()
+            .filter(|arrival| arrival.instance == leaving.instance)
+            .filter(|arrival| arrival.at > from && arrival.at < until)
+            .filter(|arrival| disturbances.undisturbed(entry_of(&arrival.id), arrival.at))
+            .map(|arrival| (&arrival.id, arrival.at - leaving.acknowledged))
+            .collect();
+        let i = leaving.i;
+        assert!(
+            late.is_empty(),
+            "seed {seed}: instance {i} had left: {} late, {late:?} after {fault_log:?}; {}",
+            late.len(),
+            upstream_lines(&fleet.log(i))
+        );
+    }
+    eprintln!("seed {seed}: {} instances left", leavings.all.len());
+}
+
+/// Returns the lines of a log that tell of starts and upstreams.
+fn upstream_lines(log: &str) -> String {
+    let lines = log.lines().filter(|line| {
+        !line.contains("\"event\"") && (line.contains("upstream") || line.contains("started:"))
+    });
+    lines.map(|line| format!("\n{line}")).collect()
+}
