Hold a large answer until it is whole where requests behind it were started

Cause: requests behind an idempotent one are started while it is served, and answers of more than 16 KB are passed on as they arrive. The end of such an answer may be the end of the connection, with all that was started behind it. Ruled out as further ways to the same loss, each by a test: an answer that closes the connection while it is still being sent, and a request that is answered before its body was read.

Change: an answer that may end the connection has to reserve its end (Place::reserve_end). That fails while a request behind it was started, and the answer is then held until it is whole, within 1 MB each and 4 MB together, and requested again if it breaks off. Nothing is started behind kinds of calls that had an answer of more than 256 KB in the last minute.

--- a/crates/http/src/ahead/mod.rs
+++ b/crates/http/src/ahead/mod.rs
@@ -17,6 +17,12 @@
 //! connection, and its caller then sends the request again: a request that may not run
 //! twice waits for its turn.
 //!
+//! # Which answers may end the connection
+//!
+//! An answer that may end the connection, because it closes it or is sent before it is
+//! whole, reserves the end of the connection ([`Place::reserve_end`]). This fails while a
+//! request behind it has been started, and no request behind it is started afterwards.
+//!
 //! # Limits
 //!
 //! At most [`MAX_PIPELINED`] requests and [`MAX_UNREAD_BYTES`] bytes are buffered per
@@ -39,7 +45,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -93,6 +99,25 @@
     }
 }
 
+/// The place of a request among those of its connection; an extension of the requests of a
+/// connection on which requests are started early.
+#[derive(Clone, Debug)]
+pub struct Place {
+    read_ahead: Weak<ReadAhead>,
+    number: u64,
+}
+
+impl Place {
+    /// Returns whether the answer to this request may end the connection: whether no request
+    /// behind it was started early. If so, none is started until the answer has been sent.
+    ///
+    /// Failure: an answer breaks off after a part of it was sent. Symptom: the requests
+    /// behind it run on sound upstreams, and their answers are lost with the connection.
+    pub fn reserve_end(&self) -> bool {
+        self.read_ahead.upgrade().is_none_or(|read_ahead| read_ahead.reserve_end(self.number))
+    }
+}
+
 /// Starts the handler of one request.
 pub type StartHandler<'a> = &'a dyn Fn(Request<Body>) -> Task<Response<Body>>;
 
@@ -114,6 +139,10 @@
     queue: VecDeque<Queued>,
     /// The request that hyper serves.
     current: Option<Target>,
+    /// How many requests hyper has parsed, which is the number of the current one.
+    parsed: u64,
+    /// Number of the request whose answer may end the connection.
+    end_reserved_by: Option<u64>,
     /// Whether the read side of the socket has ended or failed.
     read_closed: bool,
     /// Whether no further request is started early.
@@ -176,6 +205,8 @@
             scanned: 0,
             queue: VecDeque::new(),
             current: None,
+            parsed: 0,
+            end_reserved_by: None,
             read_closed: false,
             stopped: false,
         };
@@ -191,6 +222,7 @@
             return NextRequest::New(Duration::ZERO);
         }
         let mut state = self.lock();
+        state.parsed += 1;
         state.current = Some(Target::of(&head.method, &head.uri, &head.headers));
         let Some(queued) = state.queue.pop_front() else { return NextRequest::New(Duration::ZERO) };
         match queued.progress {
@@ -211,10 +243,30 @@
         }
     }
 
+    /// Returns the place of the request that hyper has parsed last, or `None` if no request of
+    /// this connection is started early.
+    pub fn current_place(self: &Arc<Self>) -> Option<Place> {
+        self.may_overlap.as_ref()?;
+        Some(self.place(self.lock().parsed))
+    }
+
+    fn place(self: &Arc<Self>, number: u64) -> Place {
+        Place { read_ahead: Arc::downgrade(self), number }
+    }
+
+    fn reserve_end(&self, number: u64) -> bool {
+        let mut state = self.lock();
+        let is_free = !state.has_started_behind(number);
+        if is_free {
+            state.end_reserved_by = Some(number);
+        }
+        is_free
+    }
+
     /// Returns whether a request behind the current one was started early.
     pub fn has_started(&self) -> bool {
-        let is_started = |queued: &Queued| matches!(queued.progress, Progress::Started(_));
-        self.lock().queue.iter().any(is_started)
+        let state = self.lock();
+        state.has_started_behind(state.parsed)
     }
 
     /// Starts no further request early.
@@ -228,7 +280,7 @@
     /// To be polled after hyper, in the same task. `busy` tells whether hyper serves a
     /// request; if not, hyper reads from the socket through [`Io`].
     pub fn poll(
-        &self,
+        self: &Arc<Self>,
         cx: &mut Context<'_>,
         busy: bool,
         start_handler: StartHandler<'_>,
@@ -243,7 +295,7 @@
         }
         loop {
             state.scan_unread(self.head_bytes);
-            state.start_overlapping(may_overlap, start_handler);
+            state.start_overlapping(may_overlap, start_handler, &|number| self.place(number));
             if state.read_closed {
                 return Poll::Ready(());
             }
@@ -307,20 +359,33 @@
         }
     }
 
+    /// Returns whether a request behind the one with this number was started early.
+    fn has_started_behind(&self, number: u64) -> bool {
+        let is_started = |queued: &Queued| matches!(queued.progress, Progress::Started(_));
+        let nearer = usize::try_from(number.saturating_sub(self.parsed)).unwrap_or(usize::MAX);
+        self.queue.iter().skip(nearer).any(is_started)
+    }
+
+    /// Returns whether the answer to a request that is not answered yet may end the connection.
+    fn is_end_reserved(&self) -> bool {
+        self.end_reserved_by.is_some_and(|number| number >= self.parsed)
+    }
+
     /// Starts the queued requests that may overlap, up to the first that may not.
     fn start_overlapping(
         &mut self,
         may_overlap: &Arc<MayOverlap>,
         start_handler: StartHandler<'_>,
+        place: &dyn Fn(u64) -> Place,
     ) {
         let is_startable = |queued: &Queued| matches!(queued.progress, Progress::Startable(_));
-        if self.stopped || !self.queue.iter().any(is_startable) {
+        if self.stopped || self.is_end_reserved() || !self.queue.iter().any(is_startable) {
             return;
         }
         if !self.current.as_ref().is_some_and(|target| may_overlap(target)) {
             return;
         }
-        for queued in &mut self.queue {
+        for (number, queued) in (self.parsed + 1..).zip(&mut self.queue) {
             match &queued.progress {
                 Progress::InOrder => return,
                 Progress::Started(_) => continue,
@@ -334,18 +399,24 @@
             if let Progress::Startable(req) =
                 std::mem::replace(&mut queued.progress, Progress::InOrder)
             {
-                queued.progress = start_early(*req, queued.since, start_handler);
+                queued.progress = start_early(*req, queued.since, place(number), start_handler);
             }
         }
     }
 }
 
-fn start_early(mut req: Request<()>, since: Instant, start_handler: StartHandler<'_>) -> Progress {
+fn start_early(
+    mut req: Request<()>,
+    since: Instant,
+    place: Place,
+    start_handler: StartHandler<'_>,
+) -> Progress {
     let target = Target::of(req.method(), req.uri(), req.headers());
     let headers = req.headers().clone();
     let (tx, rx) = async_channel::bounded(1);
     req.extensions_mut().insert(PipelineDelay(since.elapsed()));
     req.extensions_mut().insert(AnswerTurn { rx });
+    req.extensions_mut().insert(place);
     let task = start_handler(req.map(|()| body::empty()));
     Progress::Started(Box::new(Started { target, headers, task, _turn: TurnSignal { _tx: tx } }))
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -214,17 +214,23 @@
     Fut: Future<Output = Response<Body>>,
 {
     let (head, incoming) = req.into_parts();
-    let mut res = match read_ahead.take_next(&head) {
+    let next = read_ahead.take_next(&head);
+    let place = read_ahead.current_place();
+    let mut res = match next {
         NextRequest::Started(task) => task.await,
         NextRequest::New(delay) => {
             let mut req = Request::from_parts(head, boxed(incoming));
+            if let Some(place) = place.clone() {
+                req.extensions_mut().insert(place);
+            }
             if !delay.is_zero() {
                 req.extensions_mut().insert(crate::ahead::PipelineDelay(delay));
             }
             handler(peer, req).await
         }
     };
-    if read_ahead.has_started() {
+    let closes = res.headers().contains_key(header::CONNECTION);
+    if closes && place.is_some_and(|place| !place.reserve_end()) {
         keep_open(res.headers_mut());
     }
     Ok(res.map(|body| body::with_guard(body, guard)))
--- a/crates/http/tests/in_flight.rs
+++ b/crates/http/tests/in_flight.rs
@@ -4,7 +4,7 @@
 //! dropped before they were answered. It holds requests for `/slow` until the test
 //! releases them, so that the order of events does not depend on timing.
 
-use cicadashift_http::ahead::{MAX_PIPELINED, Target};
+use cicadashift_http::ahead::{MAX_PIPELINED, Place, Target};
 use cicadashift_http::body::{self, Body};
 use cicadashift_http::exec;
 use cicadashift_http::hyper::{Request, Response, StatusCode};
@@ -21,6 +21,11 @@
 /// Time within which the requests of a caller that disconnected must be cancelled.
 const CANCEL_BOUND: Duration = Duration::from_millis(500);
 
+/// Time in which a request that may be started early is started.
+const START_TIME: Duration = Duration::from_millis(200);
+/// Bytes of an answer that no socket buffer takes.
+const LARGE_BYTES: usize = 64 << 20;
+
 /// The paths of the requests that the handler started, and of those that were dropped
 /// before they were answered.
 #[derive(Default)]
@@ -101,15 +106,30 @@
     released: Receiver<()>,
 ) -> Response<Body> {
     let path = req.uri().path().to_string();
+    let place = req.extensions().get::<Place>().cloned();
     observed.lock().expect("the lock is not poisoned").started.push(path.clone());
     let _nobody_waits = changed.try_send(());
     let mut unanswered = Unanswered { observed, changed, path: Some(path.clone()) };
+    if path == "/slow-unread" {
+        let _released = released.recv().await;
+        unanswered.path = None;
+        return Response::new(body::full("[/slow-unread]"));
+    }
     let sent = body::read(req.into_body(), 1 << 20).await.unwrap_or_default();
     if path.starts_with("/slow") {
         let _released = released.recv().await;
     }
+    if path.starts_with("/slow-ending") {
+        let reserved = place.is_some_and(|place| place.reserve_end());
+        let _released = released.recv().await;
+        unanswered.path = None;
+        return Response::new(body::full(format!("[{path} reserved={reserved}]")));
+    }
     unanswered.path = None;
     let mut res = Response::new(body::full(format!("[{path} {}]", sent.len())));
+    if path == "/slow-closing-large" {
+        *res.body_mut() = body::full(vec![b'x'; LARGE_BYTES]);
+    }
     match path.as_str() {
         "/refused" => *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
         "/failed" => *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
@@ -430,3 +450,84 @@
     }
     (text, expected)
 }
+
+// The answer to the first request could break off, and the request behind it was started
+// early. The end of the connection cannot be reserved, so that its handler holds the answer.
+#[test]
+fn the_end_is_not_reserved_before_a_started_request() {
+    run(async {
+        let server = Server::start();
+        let mut caller = server.caller().await;
+        send(&mut caller, &(get("/slow-ending") + &get("/behind"))).await;
+        server.wait_until("both start", |observed| observed.started.len() == 2).await;
+        server.release.send(()).await.expect("the handler holds the receiver");
+        server.release.send(()).await.expect("the handler holds the receiver");
+        let got = read_answers(&mut caller, 2).await;
+        assert_eq!(got, ["200 [/slow-ending reserved=false]", "200 [/behind 0]"]);
+    });
+}
+
+// The answer to the first request may break off from now on. A request that arrives behind it
+// is not started before it has been sent; the one behind that may be started early again.
+#[test]
+fn nothing_is_started_behind_a_reserved_end() {
+    run(async {
+        let server = Server::start();
+        let mut caller = server.caller().await;
+        send(&mut caller, &get("/slow-ending")).await;
+        server.wait_until("the first starts", |observed| observed.started.len() == 1).await;
+        server.release.send(()).await.expect("the handler holds the receiver");
+        smol::Timer::after(START_TIME).await;
+        send(&mut caller, &(get("/slow-behind") + &get("/last"))).await;
+        smol::Timer::after(START_TIME).await;
+        assert_eq!(server.started(), ["/slow-ending"]);
+        server.release.send(()).await.expect("the handler holds the receiver");
+        server.wait_until("all start", |observed| observed.started.len() == 3).await;
+        server.release.send(()).await.expect("the handler holds the receiver");
+        let got = read_answers(&mut caller, 3).await;
+        let expected =
+            ["200 [/slow-ending reserved=true]", "200 [/slow-behind 0]", "200 [/last 0]"];
+        assert_eq!(got, expected);
+    });
+}
+
+// An answer that closes the connection is still being sent when a further request arrives.
+// That request is not started, since nobody could receive its answer.
+#[test]
+fn nothing_is_started_behind_an_answer_that_closes_the_connection() {
+    run(async {
+        let server = Server::start();
+        let mut caller = server.caller().await;
+        send(&mut caller, &get("/slow-closing-large")).await;
+        server.wait_until("the first starts", |observed| observed.started.len() == 1).await;
+        server.release.send(()).await.expect("the handler holds the receiver");
+        let mut head = [0; 16];
+        caller.read_exact(&mut head).await.expect("the answer begins");
+        send(&mut caller, &get("/behind")).await;
+        smol::Timer::after(START_TIME).await;
+        assert_eq!(server.started(), ["/slow-closing-large"]);
+    });
+}
+
+// A request is answered before its body is read, which closes the connection where the body
+// is long. The request behind it is answered, or is not started.
+#[test]
+fn a_body_that_is_not_read_loses_no_started_request() {
+    run(async {
+        for len in [1, 1 << 10, 12 << 10] {
+            let server = Server::start();
+            let mut caller = server.caller().await;
+            let body = "b".repeat(len);
+            let head =
+                format!("GET /slow-unread HTTP/1.1\r\nhost: m\r\ncontent-length: {len}\r\n\r\n");
+            send(&mut caller, &(head + &body + &get("/behind"))).await;
+            server.wait_until("the first starts", |observed| !observed.started.is_empty()).await;
+            smol::Timer::after(START_TIME).await;
+            server.release.send(()).await.expect("the handler holds the receiver");
+            let got = read_answers(&mut caller, 2).await;
+            assert_eq!(got.first().map(String::as_str), Some("200 [/slow-unread]"), "{len}");
+            let lost = server.started().len() > got.len();
+            assert!(!lost, "{len}: {got:?} of {:?}", server.started());
+        }
+    });
+}
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -28,6 +28,10 @@
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// Approximate size of the answers to requests whose path ends in `/large`.
 pub const LARGE_BYTES: usize = 240_000;
+/// Size of the answers to requests whose path ends in `/huge`, which are sent piece by piece.
+pub const HUGE_BYTES: usize = HUGE_PIECES * HUGE_PIECE_BYTES;
+const HUGE_PIECES: usize = 30;
+const HUGE_PIECE_BYTES: usize = 20_000;
 
 /// A request whose path contains this text crashes the instance that executes it.
 pub const FATAL_PATH: &str = "guilty";
@@ -83,6 +87,10 @@
     Shedding,
     /// Closes the connection after the first bytes of the answer, and goes on serving.
     Truncating,
+    /// Closes the connection in the middle of a huge answer; other answers are complete.
+    BreakingHuge,
+    /// Sends nothing more from the middle of a huge answer on; other answers are complete.
+    StallingHuge,
 }
 
 /// Calls that an instance makes at the end of each execution. If one of them gets no
@@ -107,6 +115,8 @@
     load_report: Mutex<Option<&'static str>>,
     answer_mode: Mutex<AnswerMode>,
     service_time: Mutex<Duration>,
+    /// Time between two pieces of a huge answer.
+    piece_interval: Mutex<Duration>,
     slots: Mutex<u16>,
     version: Mutex<String>,
     draining: Mutex<bool>,
@@ -167,6 +177,7 @@
             load_report: Mutex::default(),
             answer_mode: Mutex::default(),
             service_time: Mutex::new(Duration::from_millis(2)),
+            piece_interval: Mutex::default(),
             slots: Mutex::new(9),
             version: Mutex::new("v1".to_string()),
             draining: Mutex::new(false),
@@ -227,6 +238,11 @@
         *lock(&self.shared.service_time) = service_time;
     }
 
+    /// Changes the time that a huge answer takes to be sent.
+    pub fn set_huge_answer_time(&self, time: Duration) {
+        *lock(&self.shared.piece_interval) = time / HUGE_PIECES as u32;
+    }
+
     /// Changes the pace of the machine, in per cent: requests take as much longer, and answers
     /// report it. `None` reports no load.
     pub fn set_pace(&self, per_cent: Option<u16>) {
@@ -373,7 +389,8 @@
         self.send_report(Method::PUT, id, heartbeat).await
     }
 
-    /// Returns the ids of the requests whose connection closed during their execution.
+    /// Returns the ids of the requests whose connection closed during their execution or in a
+    /// huge answer.
     pub fn abandoned(&self) -> Vec<String> {
         lock(&self.shared.abandoned).clone()
     }
@@ -539,6 +556,13 @@
         Some(nested_calls) => make_nested_calls(shared, &nested_calls, &id).await,
         None => true,
     };
+    if head.uri.path().ends_with("/huge") {
+        let interval = *lock(&shared.piece_interval);
+        let mut res = Response::new(huge(execution, answer_mode, interval));
+        set(&mut res, "x-request-id", &id);
+        set(&mut res, "x-server-stamp", &own);
+        return res;
+    }
     execution.complete();
     if answer_mode == AnswerMode::Silent {
         return std::future::pending().await;
@@ -587,6 +611,27 @@
     res.is_ok_and(|res| res.status().is_success())
 }
 
+/// Returns the body of a huge answer, with the faults of the answer mode.
+fn huge(execution: Execution, answer_mode: AnswerMode, interval: Duration) -> Body {
+    let pieces = smol::stream::unfold((execution, 0), move |(execution, sent)| async move {
+        if sent == HUGE_PIECES {
+            execution.complete();
+            return None;
+        }
+        smol::Timer::after(interval).await;
+        let is_middle = sent == HUGE_PIECES / 2;
+        let piece = match answer_mode {
+            AnswerMode::StallingHuge if is_middle => std::future::pending().await,
+            AnswerMode::BreakingHuge if is_middle => {
+                Err(BodyError::Broken("on purpose".to_string()))
+            }
+            _ => Ok(Frame::data(Bytes::from(vec![b'x'; HUGE_PIECE_BYTES]))),
+        };
+        Some((piece, (execution, sent + 1)))
+    });
+    StreamBody::new(pieces).boxed_unsync()
+}
+
 /// Returns an answer whose body fails after its first bytes.
 fn truncated(id: &str, own: &str) -> Response<Body> {
     let first_bytes = smol::stream::once(Ok(Frame::data(Bytes::from_static(b"begun"))));
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -142,6 +142,10 @@
     pub liveness: Mutex<Liveness>,
     /// Callers that were refused and are expected to return.
     pub returning_callers: callers::ShardedReturningCallers,
+    /// Memory for answers that are held until they are whole.
+    pub held_answers: request::held::HeldAnswers,
+    /// Kinds of calls whose answers were large of late.
+    pub large_answers: request::held::LargeAnswers,
     /// Calls that are refused at the entry, since hosts refuse most calls of their kind.
     pub throttles: throttles::ShardedThrottle,
     /// Quarantine of calls that end the upstreams which run them.
@@ -394,6 +398,8 @@
             members: members::Members::new(&settings, me, incarnation, ports.mesh, clock.now()),
             liveness: Mutex::default(),
             returning_callers: callers::ShardedReturningCallers::default(),
+            held_answers: request::held::HeldAnswers::default(),
+            large_answers: request::held::LargeAnswers::default(),
             throttles: throttles::ShardedThrottle::default(),
             quarantine: quarantine::Quarantine::default(),
             limits: limits::MeshLimits::default(),
--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -1,12 +1,15 @@
 //! Turns an exit daemon's response into the answer for the caller.
 
 use super::headers;
+use super::held::{HeldAnswers, HeldMemory};
 use super::payload::{Payload, buffer};
 use crate::daemon::dependencies;
 use bytes::Bytes;
 use cicadashift_core::request::link::SMALL_BYTES;
 use cicadashift_core::request::retry::Attempt;
+use cicadashift_http::ahead::Place;
 use cicadashift_http::body::{self, Body};
+use cicadashift_http::hyper::body::Body as HttpBody;
 use cicadashift_http::hyper::http::response;
 use cicadashift_http::hyper::{Response, StatusCode};
 use cicadashift_wire::call;
@@ -40,6 +43,8 @@
 pub enum AnswerBody {
     /// Buffered whole.
     Whole(Bytes),
+    /// Held until it was whole, since requests behind it have been started.
+    Held(Bytes, HeldMemory),
     /// Too large to be buffered; if it breaks off, the caller's connection is cut too.
     Streaming(Body),
 }
@@ -53,7 +58,7 @@
     /// Returns whether it is large enough to be scheduled on the link of the upstream's host.
     pub fn is_large(&self) -> bool {
         match &self.body {
-            AnswerBody::Whole(buf) => buf.len() as u64 > SMALL_BYTES,
+            AnswerBody::Whole(buf) | AnswerBody::Held(buf, _) => buf.len() as u64 > SMALL_BYTES,
             AnswerBody::Streaming(_) => true,
         }
     }
@@ -62,6 +67,7 @@
     pub fn into_response(self) -> Response<Body> {
         let body = match self.body {
             AnswerBody::Whole(buf) => body::full(buf),
+            AnswerBody::Held(buf, memory) => body::with_guard(body::full(buf), memory),
             AnswerBody::Streaming(body) => body,
         };
         Response::from_parts(self.head, body)
@@ -85,15 +91,49 @@
 /// Reads an answer, up to `MAX_HELD_BYTES` of its body.
 ///
 /// Small answers are passed on only once they are complete, so that a call whose answer
-/// breaks off can be sent again.
-pub async fn read(mut head: response::Parts, body: Body) -> Result<Answer, &'static str> {
+/// breaks off can be sent again. The same goes for a larger one if requests behind it were
+/// started; see [`super::held`].
+pub async fn read(
+    mut head: response::Parts,
+    body: Body,
+    place: Option<&Place>,
+    held: &HeldAnswers,
+) -> Result<Answer, &'static str> {
     headers::strip_cicadashift(&mut head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
-    match buffer(body, MAX_HELD_BYTES, u64::MAX).await {
-        Ok(Payload::Buffered(buf)) => Ok(Answer { head, body: AnswerBody::Whole(buf) }),
+    let stated = body.size_hint().exact();
+    let body = match buffer(body, MAX_HELD_BYTES, u64::MAX).await {
+        Ok(Payload::Buffered(buf)) => AnswerBody::Whole(buf),
         Ok(Payload::Streamed(body, _)) => {
             let body = body.unwrap_or_else(body::empty);
-            Ok(Answer { head, body: AnswerBody::Streaming(body) })
+            match place.is_none_or(Place::reserve_end) {
+                true => AnswerBody::Streaming(body),
+                false => hold(body, stated, held).await?,
+            }
+        }
+        Err(_) => return Err("truncated"),
+    };
+    Ok(Answer { head, body })
+}
+
+/// Reads the rest of an answer before it is passed on, if there is memory for it.
+async fn hold(
+    body: Body,
+    stated: Option<u64>,
+    held: &HeldAnswers,
+) -> Result<AnswerBody, &'static str> {
+    let Some(mut memory) = held.reserve(stated) else {
+        log::warn!("an answer with requests started behind it is too large to be held");
+        return Ok(AnswerBody::Streaming(body));
+    };
+    match buffer(body, memory.bytes(), u64::MAX).await {
+        Ok(Payload::Buffered(buf)) => {
+            memory.shrink_to(buf.len());
+            Ok(AnswerBody::Held(buf, memory))
+        }
+        Ok(Payload::Streamed(body, _)) => {
+            log::warn!("an answer with requests started behind it is too large to be held");
+            Ok(AnswerBody::Streaming(body.unwrap_or_else(body::empty)))
         }
         Err(_) => Err("truncated"),
     }
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -19,7 +19,7 @@
 use cicadashift_core::request::gate::KindKey;
 use cicadashift_core::request::jitter;
 use cicadashift_core::request::retry::MAX_ATTEMPTS;
-use cicadashift_http::ahead::{AnswerTurn, PipelineDelay, Target};
+use cicadashift_http::ahead::{AnswerTurn, PipelineDelay, Place, Target};
 use cicadashift_http::body::{self, Body, BodyError};
 use cicadashift_http::exec;
 use cicadashift_http::hyper::body::Body as _;
@@ -138,6 +138,7 @@
     headers::strip_cicadashift(&mut head.headers);
     headers::strip_hop_by_hop(&mut head.headers);
     let turn = head.extensions.remove::<AnswerTurn>();
+    let place = head.extensions.remove::<Place>();
     let mut payload =
         match exec::timeout(timeout, buffer(incoming, MAX_BUFFERED, route.max_body)).await {
             Some(Ok(payload)) => payload,
@@ -178,6 +179,7 @@
         max_attempts,
         head,
         turn,
+        place,
     };
     let res = attempts::run(d, call, payload).await;
     d.dependencies.record_entered(d, KindKey(kind), &res);
@@ -211,8 +213,10 @@
 /// its connection have been sent.
 ///
 /// An earlier answer may close the connection, and the caller then sends the later
-/// requests again. So a request that may not run twice waits for its turn. Once a stop
-/// has begun every request waits, since the connection is about to be closed.
+/// requests again. So a request that may not run twice waits for its turn. Nothing is
+/// started behind an answer that is probably large, and would have to be held until it is
+/// whole; see [`super::held`]. Once a stop has begun every request waits, since the connection
+/// is about to be closed.
 pub fn may_overlap(d: &Daemon, target: &Target) -> bool {
     if d.is_leaving() || !d.settings.load.overlap {
         return false;
@@ -222,7 +226,9 @@
     let method = target.method.as_str();
     let key = running.table.find(host, target.uri.path(), method);
     let route = key.and_then(|key| running.table.route(key));
-    route.is_some_and(|route| route.may_repeat(method))
+    route.is_some_and(|route| {
+        route.may_repeat(method) && !d.large_answers.contains(kind_of(route), d.clock.now())
+    })
 }
 
 /// Responds that no route matches, if the configuration is certainly the newest.
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -38,7 +38,7 @@
 
 /// Largest answer that is buffered completely before it is passed on, in bytes. Nearly all
 /// documents fit, and a handful of them at a time take less than one or two megabytes.
-const MAX_BUFFERED_ANSWER: usize = 256 << 10;
+pub const MAX_BUFFERED_ANSWER: usize = 256 << 10;
 
 /// The daemon that a call comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/daemon/request/mod.rs
+++ b/src/daemon/request/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! On the upstream's host, [`exit`] admits the request and sends it to the upstream.
 //!
-//! The answer returns through [`answer`]; [`paced`] schedules large answers on the host's
+//! The answer returns through [`answer`], where [`held`] bounds the answers that wait until
+//! they are whole; [`paced`] schedules large answers on the host's
 //! link. [`headers`], [`payload`], [`digest`] and [`tracked`] are shared by these stages.
 //! [`work`] holds the state of a routed call, [`refuse`] makes the responses that replace
 //! an answer, and [`log_lines`] writes the log lines about requests.
@@ -19,6 +20,7 @@
 pub mod entry;
 pub mod exit;
 pub mod headers;
+pub mod held;
 pub mod log_lines;
 pub mod paced;
 pub mod payload;
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -181,8 +181,12 @@
         return AttemptResult::NoAnswer(attempt, reason);
     }
     let service_time = headers::number(&head.headers, call::SERVICE_US).map(Duration::from_micros);
-    let left = call.deadline.saturating_duration_since(d.clock.now()) + ANSWER_MARGIN;
-    match exec::timeout(left, answer::read(head, body)).await {
+    let kind = KindKey(call.kind);
+    let now = d.clock.now();
+    d.large_answers.record(kind, body.size_hint().exact(), now);
+    let left = call.deadline.saturating_duration_since(now) + ANSWER_MARGIN;
+    let reading = answer::read(head, body, call.place.as_ref(), &d.held_answers);
+    match exec::timeout(left, reading).await {
         Some(Ok(answer)) => {
             let total = d.clock.now().saturating_duration_since(started);
             let service = service_time.unwrap_or(total);
@@ -190,7 +194,6 @@
                 true => Outcome::ErrorAnswer,
                 false => Outcome::Answered { service, total, report },
             });
-            let kind = KindKey(call.kind);
             let large = answer.is_large();
             d.services.with(&call.service, |service| service.picker.set_large(kind, large));
             AttemptResult::Answer(answer)
--- a/src/daemon/request/work.rs
+++ b/src/daemon/request/work.rs
@@ -4,7 +4,7 @@
 use cicadashift_core::ids::CallDigest;
 use cicadashift_core::request::choose::Demand;
 use cicadashift_core::request::gate::KindKey;
-use cicadashift_http::ahead::AnswerTurn;
+use cicadashift_http::ahead::{AnswerTurn, Place};
 use cicadashift_http::hyper::http::request::Parts;
 use std::sync::Arc;
 use std::time::Instant;
@@ -52,6 +52,8 @@
     /// Tells when its answer may be sent, if earlier requests of its connection are still
     /// unanswered.
     pub turn: Option<AnswerTurn>,
+    /// Its place on its connection, if requests of the connection are started early.
+    pub place: Option<Place>,
 }
 
 impl RoutedCall {
