End an answer that has begun at the deadline of its call

Cause: the deadline of a call bounds the wait for its answer only until 16 KB are read at the caller's daemon and 256 KB at the upstream's; the rest was passed on without a limit. The socket options do not help, since the kernel of a process that stands still goes on acknowledging.

Change: the rest is given up at the call's deadline at both daemons, so that the end reaches the upstream too. Time in which the receiver takes nothing does not count, so that an answer that is there reaches a slow caller; nothing is given up for silence before the deadline.

Tests that failed on (no end within 10 s, 2 s allowed): answers::an_answer_that_stalls_ends_with_the_timeout_of_its_route and answers::an_answer_ends_in_time_although_the_daemon_beside_its_upstream_stands_still.

--- a/src/daemon/request/answer.rs
+++ b/src/daemon/request/answer.rs
@@ -1,8 +1,10 @@
 //! Turns an exit daemon's response into the answer for the caller.
 
+use super::bounded::BoundedBody;
 use super::headers;
 use super::held::{HeldAnswers, HeldMemory};
 use super::payload::{Payload, buffer};
+use crate::clock::Clock;
 use crate::daemon::dependencies;
 use bytes::Bytes;
 use cicadashift_core::request::link::SMALL_BYTES;
@@ -13,7 +15,9 @@
 use cicadashift_http::hyper::http::response;
 use cicadashift_http::hyper::{Response, StatusCode};
 use cicadashift_wire::call;
-use std::time::Duration;
+use http_body_util::BodyExt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// `Retry-After` that is assumed if an exit daemon names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -63,6 +67,15 @@
         }
     }
 
+    /// Bounds the rest of an answer that is passed on as it arrives by a deadline.
+    pub fn bounded_by(mut self, deadline: Instant, clock: &Arc<dyn Clock>) -> Answer {
+        if let AnswerBody::Streaming(body) = self.body {
+            let body = BoundedBody::new(body, deadline, clock.clone());
+            self.body = AnswerBody::Streaming(body.boxed_unsync());
+        }
+        self
+    }
+
     /// Makes the response to the caller.
     pub fn into_response(self) -> Response<Body> {
         let body = match self.body {
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -1,6 +1,7 @@
 //! The exit side of a call: admits it, forwards it to an upstream on this host, and passes
 //! the answer on.
 
+use super::bounded::BoundedBody;
 use super::headers;
 use super::log_lines::AdmitLine;
 use super::paced::ExpectedAnswer;
@@ -25,6 +26,7 @@
 use cicadashift_http::hyper::{Request, Response, StatusCode};
 use cicadashift_http::keep_alive;
 use cicadashift_wire::call::{self, Context};
+use http_body_util::BodyExt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -208,7 +210,9 @@
     };
     let passed_on = pass_on_answer(&d, &cx, res, connection, &local, permit, started);
     match exec::timeout(deadline.saturating_duration_since(d.clock.now()), passed_on).await {
-        Some(res) => res,
+        Some(res) => {
+            res.map(|body| BoundedBody::new(body, deadline, d.clock.clone()).boxed_unsync())
+        }
         None => unknown(&d, &cx, StatusCode::GATEWAY_TIMEOUT, "deadline", started, &local),
     }
 }
--- a/src/daemon/request/mod.rs
+++ b/src/daemon/request/mod.rs
@@ -9,13 +9,14 @@
 //! On the upstream's host, [`exit`] admits the request and sends it to the upstream.
 //!
 //! The answer returns through [`answer`], where [`held`] bounds the answers that wait until
-//! they are whole; [`paced`] schedules large answers on the host's
+//! they are whole and [`bounded`] gives up those that arrive too late; [`paced`] schedules large answers on the host's
 //! link. [`headers`], [`payload`], [`digest`] and [`tracked`] are shared by these stages.
 //! [`work`] holds the state of a routed call, [`refuse`] makes the responses that replace
 //! an answer, and [`log_lines`] writes the log lines about requests.
 
 pub mod answer;
 pub mod attempts;
+pub mod bounded;
 pub mod digest;
 pub mod entry;
 pub mod exit;
--- a/src/daemon/request/send.rs
+++ b/src/daemon/request/send.rs
@@ -196,7 +196,7 @@
             });
             let large = answer.is_large();
             d.services.with(&call.service, |service| service.picker.set_large(kind, large));
-            AttemptResult::Answer(answer)
+            AttemptResult::Answer(answer.bounded_by(call.deadline + ANSWER_MARGIN, &d.clock))
         }
         Some(Err(reason)) => {
             guard.end(Outcome::Failed);
