Let the soak send requests behind huge answers that break off or stall

Callers beside those that there are send a huge answer's request and two lookups behind it on one connection; instances break such answers off or stall in them by a series of their own, so that the series of the other faults stays as it was. Checked at daemons that are undisturbed meanwhile: at most three lookups run and lost, and not eight or more, and over a quarter, of the exchanges that last longer than the route's TimeoutMs without an end 0.5 s after it.

--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -87,10 +87,15 @@
     Shedding,
     /// Closes the connection after the first bytes of the answer, and goes on serving.
     Truncating,
-    /// Closes the connection in the middle of a huge answer; other answers are complete.
-    BreakingHuge,
-    /// Sends nothing more from the middle of a huge answer on; other answers are complete.
-    StallingHuge,
+}
+
+/// What goes wrong in the middle of huge answers. Other answers are complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HugeFault {
+    /// The connection is closed.
+    Breaking,
+    /// Nothing more is sent.
+    Stalling,
 }
 
 /// Calls that an instance makes at the end of each execution. If one of them gets no
@@ -115,6 +120,7 @@
     load_report: Mutex<Option<&'static str>>,
     answer_mode: Mutex<AnswerMode>,
     service_time: Mutex<Duration>,
+    huge_fault: Mutex<Option<HugeFault>>,
     /// Time between two pieces of a huge answer.
     piece_interval: Mutex<Duration>,
     slots: Mutex<u16>,
@@ -177,6 +183,7 @@
             load_report: Mutex::default(),
             answer_mode: Mutex::default(),
             service_time: Mutex::new(Duration::from_millis(2)),
+            huge_fault: Mutex::default(),
             piece_interval: Mutex::default(),
             slots: Mutex::new(9),
             version: Mutex::new("v1".to_string()),
@@ -238,6 +245,11 @@
         *lock(&self.shared.service_time) = service_time;
     }
 
+    /// Changes what goes wrong in huge answers.
+    pub fn set_huge_fault(&self, huge_fault: Option<HugeFault>) {
+        *lock(&self.shared.huge_fault) = huge_fault;
+    }
+
     /// Changes the time that a huge answer takes to be sent.
     pub fn set_huge_answer_time(&self, time: Duration) {
         *lock(&self.shared.piece_interval) = time / HUGE_PIECES as u32;
@@ -557,8 +569,8 @@
         None => true,
     };
     if head.uri.path().ends_with("/huge") {
-        let interval = *lock(&shared.piece_interval);
-        let mut res = Response::new(huge(execution, answer_mode, interval));
+        let (interval, fault) = (*lock(&shared.piece_interval), *lock(&shared.huge_fault));
+        let mut res = Response::new(huge(execution, fault, interval));
         set(&mut res, "x-request-id", &id);
         set(&mut res, "x-server-stamp", &own);
         return res;
@@ -611,21 +623,18 @@
     res.is_ok_and(|res| res.status().is_success())
 }
 
-/// Returns the body of a huge answer, with the faults of the answer mode.
-fn huge(execution: Execution, answer_mode: AnswerMode, interval: Duration) -> Body {
+/// Returns the body of a huge answer, with a fault in its middle if there is one.
+fn huge(execution: Execution, fault: Option<HugeFault>, interval: Duration) -> Body {
     let pieces = smol::stream::unfold((execution, 0), move |(execution, sent)| async move {
         if sent == HUGE_PIECES {
             execution.complete();
             return None;
         }
         smol::Timer::after(interval).await;
-        let is_middle = sent == HUGE_PIECES / 2;
-        let piece = match answer_mode {
-            AnswerMode::StallingHuge if is_middle => std::future::pending().await,
-            AnswerMode::BreakingHuge if is_middle => {
-                Err(BodyError::Broken("on purpose".to_string()))
-            }
-            _ => Ok(Frame::data(Bytes::from(vec![b'x'; HUGE_PIECE_BYTES]))),
+        let piece = match fault.filter(|_| sent == HUGE_PIECES / 2) {
+            Some(HugeFault::Stalling) => std::future::pending().await,
+            Some(HugeFault::Breaking) => Err(BodyError::Broken("on purpose".to_string())),
+            None => Ok(Frame::data(Bytes::from(vec![b'x'; HUGE_PIECE_BYTES]))),
         };
         Some((piece, (execution, sent + 1)))
     });
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -5,7 +5,7 @@
 
 use cicadashift_http::exec;
 use cicadashift_testkit::hosted::fleet::HostedFleet;
-use cicadashift_testkit::hosted::instance::{AnswerMode, HUGE_BYTES};
+use cicadashift_testkit::hosted::instance::{HUGE_BYTES, HugeFault};
 use common::run;
 use smol::Async;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
@@ -74,7 +74,7 @@
         let routes: Vec<_> = prefixes.iter().map(String::as_str).chain(["/notices/"]).collect();
         fleet.put_config(2, &routes);
         wait_for_version(&fleet, 2).await;
-        fleet.daemons[0].instance.set_answer_mode(AnswerMode::BreakingHuge);
+        fleet.daemons[0].instance.set_huge_fault(Some(HugeFault::Breaking));
         let complete = Received { answers: 1 + BEHIND, is_huge: true };
         for prefix in &prefixes {
             let mut text = get(&format!("{prefix}huge"), &format!("{prefix}first"), "keep-alive");
@@ -118,7 +118,7 @@
     // upstream that is kept at work on it.
     run(async {
         let fleet = serving_from_second().await;
-        fleet.daemons[1].instance.set_answer_mode(AnswerMode::StallingHuge);
+        fleet.daemons[1].instance.set_huge_fault(Some(HugeFault::Stalling));
         let began = Instant::now();
         let (got, took) = download(&fleet, "stalled").await;
         assert!(!got.is_huge);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod downloads;
 mod leavings;
 
 use cicadashift_http::exec;
@@ -15,6 +16,7 @@
 use cicadashift_testkit::hosted::instance::AnswerMode;
 use cicadashift_testkit::hosted::store::{Outage, StoreCopy};
 use common::run;
+use downloads::Downloads;
 use leavings::Leavings;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -22,6 +24,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
+/// Prefixes of the routes.
+const ROUTES: [&str; 3] = ["/notices/", "/lift/", downloads::PREFIX];
 /// Number of daemons in one run, unless `SOAK_DAEMONS` names another.
 const CI_DAEMONS: usize = 4;
 /// Callers for each daemon; half of all callers send non-idempotent requests.
@@ -100,7 +104,7 @@
 
 impl Operator {
     fn write(&self, fleet: &HostedFleet) {
-        fleet.put_config(self.version, &["/notices/", "/lift/"]);
+        fleet.put_config(self.version, &ROUTES);
     }
 
     /// Stops the store and restores it from the last copy, if there is one.
@@ -172,7 +176,8 @@
 fn guarantees_hold_under_random_faults() {
     // Callers send idempotent and non-idempotent requests throughout the run. Daemons are
     // killed, frozen, stopped and reloaded; instances crash, leave, do not answer, or answer
-    // with the id of another request; the store fails and is restored from a copy. No
+    // with the id of another request, break huge answers off or stall in them; the store fails
+    // and is restored from a copy. No
     // non-idempotent request may run twice or after a refusal, no caller may get the answer
     // to another request, and all daemons must serve again after the last fault. One caller
     // repeats a request that crashes instances: undisturbed daemons must stop forwarding it.
@@ -194,7 +199,7 @@
     let program = Path::new(env!("CARGO_BIN_EXE_cicadashift"));
     let daemons = daemons();
     let mut fleet = HostedFleet::serving(program, daemons).await;
-    fleet.put_config(2, &["/notices/", "/lift/"]);
+    fleet.put_config(2, &ROUTES);
     for i in 0..daemons {
         let is_served =
             async |fleet: &HostedFleet| fleet.status(i, "/lift/0", "k").await == Some(200);
@@ -207,6 +212,8 @@
             exec::spawn(call(seed, n, fleet.caller(n % daemons), outcomes.clone(), stop.clone()))
         })
         .collect();
+    let downloads = Downloads::default();
+    let downloaders = downloads.start(seed, &fleet, &stop);
     let fatal_caller = exec::spawn(call_fatal((0..daemons).map(|i| fleet.caller(i)).collect()));
     let mut random = Random(seed);
     let mut fault_log = Vec::new();
@@ -251,9 +258,10 @@
         );
     }
     stop.store(true, Ordering::Relaxed);
-    for caller in callers {
+    for caller in callers.into_iter().chain(downloaders) {
         caller.await;
     }
+    downloads.check(seed, &fleet, &disturbances, &fault_log);
     check_outcomes(seed, &fleet, &outcomes, &fault_log);
 }
 
