Test that a slow caller gets its answer whole in a planned stop; it does not

A caller reads an answer of 600,000 bytes in two seconds; its daemon is told to stop after the first bytes. Seen: 580,299 bytes arrive, then the connection ends. So a release cuts the answers of slow callers, and those on slow links.

Cause: handle_connection in crates/http/src/server.rs ends a connection that is shut down once no request is in progress for LATE_REQUEST_WAIT, 0.2 s. A request counts as in progress until hyper has taken its body; what hyper holds and the socket does not take yet, up to its buffer, is dropped with the connection.

--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -5,12 +5,18 @@
 use cicadashift_http::exec;
 use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::fleet::{HostedFleet, config};
-use cicadashift_testkit::hosted::instance::LARGE_BYTES;
+use cicadashift_testkit::hosted::instance::{HUGE_BYTES, LARGE_BYTES};
 use cicadashift_testkit::hosted::store::CONFIG_KEY;
 use common::run;
 use serde_json::json;
+use smol::Async;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use std::net::TcpStream;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Time after its last answer within which a daemon that was told to stop must exit.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(5);
 
 #[test]
 fn a_request_that_outlasts_the_stop_of_its_daemon_is_answered() {
@@ -88,3 +94,33 @@
         assert_eq!(received, Some((200, expected_len)), "{}{}", fleet.log(0), fleet.log(1));
     });
 }
+
+#[test]
+fn an_answer_that_its_caller_reads_slowly_leaves_whole_although_its_daemon_stops() {
+    // Guards against an answer that is cut since the daemon exits while its caller still reads:
+    // the caller's own daemon is told to stop after the first bytes, and the caller takes two
+    // seconds for the rest.
+    run(async {
+        let program = Path::new(env!("CARGO_BIN_EXE_cicadashift"));
+        let mut fleet = HostedFleet::serving(program, 2).await;
+        let to = fleet.daemons[0].callers;
+        let mut caller = Async::<TcpStream>::connect(to).await.expect("the daemon listens");
+        let text =
+            "GET /notices/huge HTTP/1.1\r\nhost: notices.example\r\nx-request-id: slow\r\n\r\n";
+        caller.write_all(text.as_bytes()).await.expect("the daemon reads the request");
+        let (mut got, mut chunk) = (0, [0; HUGE_BYTES / 40]);
+        while let Ok(len @ 1..) = caller.read(&mut chunk).await {
+            if got == 0 {
+                fleet.signal(0, "-TERM");
+            }
+            got += len;
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+        assert!(got > HUGE_BYTES, "{got} bytes: {}", fleet.log(0));
+        let until = Instant::now() + EXIT_TIMEOUT;
+        while fleet.exit_code(0).is_none() && Instant::now() < until {
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        assert_eq!(fleet.exit_code(0), Some(0), "{}", fleet.log(0));
+    });
+}
