Give the test of bodies of megabytes a deadline that covers them

The deadline is the time of a call in all (docs/CONFIGURATION.md, and the users' TimeoutMs), so the test asked for the contrary of what is stated.

--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -2,12 +2,15 @@
 
 mod common;
 
-use cicadashift_testkit::mesh::Mesh;
+use cicadashift_testkit::mesh::{Mesh, NOTICES_CONFIG};
 use common::{run, spec};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
+/// Deadline of calls with bodies of megabytes, which the deadline covers whole.
+const LARGE_DEADLINE_MS: u64 = 15_000;
+
 /// Sends raw bytes and returns all that is received until the connection ends.
 async fn raw(to: SocketAddr, sent: &'static [u8]) -> String {
     smol::unblock(move || {
@@ -117,6 +120,9 @@
 fn large_bodies_pass_whole_both_ways() {
     run(async {
         let mesh = Mesh::serving(spec(&["a", "b"], 1)).await;
+        let service = r#""service": "notice""#;
+        let patient = format!(r#"{service}, "deadline_ms": {LARGE_DEADLINE_MS}"#);
+        mesh.roll_out(&NOTICES_CONFIG.replace(service, &patient)).await;
         let body = vec![b'y'; 3 << 20];
         let call = common::caller(&mesh, 0).call("POST", "/echo", "big", &body).await;
         match call.outcome {
