Log what an acknowledged leaving rests on, and calls sent to an upstream that leaves

A leave message now logs the start time that it was applied to, or that it changed nothing; a leaving logs that another daemon remembers it, and after how long; an 'admit' line of a call that is sent to an upstream which leaves has 'leaving', is written up to log.failed_per_s like other failures, and is counted in upstream.sent_leaving. No decision changes.

--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -86,14 +86,26 @@
 }
 
 /// Records that an upstream on this host is leaving, and returns once another daemon
-/// remembers it or [`REPLICATION_TIMEOUT`] has passed.
+/// remembers it or [`REPLICATION_TIMEOUT`] has passed. Logs what the acknowledgement, which
+/// follows, rests on.
 pub async fn record_own(d: &Arc<Daemon>, instance: &str, start: u64) {
+    let began = d.clock.now();
     let departure = Departure::new(d.me, instance, start, d.clock.wall_ms());
-    if merge(d, std::slice::from_ref(&departure)) && !replicate(d, &departure).await {
-        d.metrics.incr("upstream.leaving_unconfirmed");
-        log::warn!("no other daemon confirms that upstream {instance} is leaving");
-        lock(&d.departures.unconfirmed).push((departure, d.clock.now()));
+    if !merge(d, std::slice::from_ref(&departure)) {
+        log::debug!("upstream {instance}, started at {start}, is known to be leaving");
+        return;
+    }
+    if replicate(d, &departure).await {
+        let took = d.clock.now().saturating_duration_since(began).as_millis();
+        log::info!(
+            "another daemon remembers after {took} ms that upstream {instance}, started at \
+             {start}, is leaving"
+        );
+        return;
     }
+    d.metrics.incr("upstream.leaving_unconfirmed");
+    log::warn!("no other daemon confirms that upstream {instance} is leaving");
+    lock(&d.departures.unconfirmed).push((departure, d.clock.now()));
 }
 
 /// Merges departures that were observed here or received from other daemons; returns whether
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -126,6 +126,9 @@
     if let Err(refusal) = d.rollouts.admit(&d, &local) {
         return refuse(&d, &cx, refusal, arrived, Some(&local));
     }
+    if local.is_leaving() {
+        d.metrics.incr("upstream.sent_leaving");
+    }
     log_admit(&d, &cx, "run", arrived, Some(&local));
     let expected = ExpectedAnswer::new(&d, kind);
     let res = forward(d, cx, req, local, permit, deadline).await;
@@ -463,8 +466,9 @@
 ) {
     let load = local.map(|local| local.load()).unwrap_or_default();
     let waited = d.clock.now().saturating_duration_since(since);
+    let leaving = local.is_some_and(|local| local.is_leaving());
     let class = match result {
-        "run" => DecisionClass::Ordinary,
+        "run" if !leaving => DecisionClass::Ordinary,
         _ => DecisionClass::FailedAttempt,
     };
     rate_limited_decision(
@@ -480,6 +484,7 @@
             running: load.running,
             queued: load.queued,
             mean_ms: load.mean.as_secs_f64() * 1e3,
+            leaving,
         },
     );
 }
--- a/src/daemon/request/log_lines.rs
+++ b/src/daemon/request/log_lines.rs
@@ -126,6 +126,10 @@
     pub queued: usize,
     /// Mean service time of the upstream, in milliseconds.
     pub mean_ms: f64,
+    /// Whether the upstream is leaving; omitted if it is not. A call that was admitted before
+    /// may still be sent to it.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
 }
 
 /// Logs the choice of an upstream.
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -3,7 +3,7 @@
 //! `docs/UPSTREAMS.md` describes it for authors of upstreams. It trusts whoever can reach
 //! it, so it belongs on loopback.
 
-use super::gates::Evidence;
+use super::gates::{Evidence, Removed};
 use super::request::headers;
 use super::{Daemon, departures, greet, quarantine, quotas, status};
 use cicadashift_core::config::check_name;
@@ -90,14 +90,23 @@
             remember_if_leaving(d, &announced.instance).await;
         }
         PlatformReport::Leave { instance, start } => {
-            log::info!("upstream {instance} left");
             let removed = d.gates.remove(d, &instance, start);
+            log_left(&instance, removed);
             departures::record_own(d, &instance, removed.start).await;
         }
     }
     json(serde_json::json!({}))
 }
 
+/// Logs what a leave message was applied to: it may be late, or name another incarnation.
+fn log_left(instance: &str, removed: Removed) {
+    let Removed { was_present, start } = removed;
+    match was_present {
+        true => log::info!("upstream {instance} left, started at {start}"),
+        false => log::info!("upstream {instance} left, started at {start}, not in use here"),
+    }
+}
+
 /// Has other daemons remember that an upstream is leaving, if it is.
 async fn remember_if_leaving(d: &Arc<Daemon>, instance: &str) {
     if let Some(start) = d.gates.leaving_start(instance) {
@@ -158,8 +167,8 @@
 }
 
 async fn leave(d: &Arc<Daemon>, instance: &str) -> Response<Body> {
-    log::info!("upstream {instance} left");
     let removed = d.gates.remove(d, instance, 0);
+    log_left(instance, removed);
     if removed.was_present {
         departures::record_own(d, instance, removed.start).await;
     }
