Test that two late heartbeats do not undo a leaving; they do

Callers saw requests reach an instance whose leaving had been acknowledged. Reproduced with real daemons and stand-in instances: four daemons are killed after the acknowledgement and started again, the instance's health says no, and three of its heartbeats from before arrive a second apart.

A second test, of an instance that is well after the same kills, passes: it bounds what the mend may cost.

--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -24,6 +24,11 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Sequence number of a heartbeat that is older than all others.
 const OLD_SEQUENCE: u64 = 0;
+/// Sequence number of the first heartbeat that was on its way when its instance left.
+const LATE_SEQUENCE: u64 = 100_000;
+/// Time within which instances must be in use again after their daemons started: one second to
+/// ask other daemons, and the time to spread it.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(3);
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_cicadashift"))
@@ -148,6 +153,53 @@
     });
 }
 
+/// Delivers heartbeats that an instance sent before it left, one second apart. Their sequence
+/// numbers are higher than those that its daemon has seen.
+async fn deliver_late_heartbeats(instance: &Instance, count: u64) {
+    for n in 0..count {
+        instance.send_heartbeat_as(&instance.id(), LATE_SEQUENCE + n, false).await;
+        smol::Timer::after(Duration::from_secs(1)).await;
+    }
+}
+
+#[test]
+fn late_heartbeats_do_not_outweigh_a_health_that_says_no() {
+    // Guards against a daemon that believes the second of two late heartbeats, although the
+    // health of the instance denied the first: all daemons were killed after they acknowledged
+    // the leaving.
+    run(async {
+        let mut fleet = serving(4).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        let left = leave(&instance, Leaving::Withdrawn).await;
+        instance.deny_health(true);
+        (0..4).for_each(|i| fleet.kill(i));
+        (0..4).for_each(|i| fleet.restart(i));
+        let from = left + DRAIN_TIME;
+        let callers = start_callers(&fleet, &[0, 1, 2, 3], from + CHECKED_TIME);
+        smol::Timer::after(Duration::from_millis(1500)).await;
+        deliver_late_heartbeats(&instance, 3).await;
+        let (late, sent) = arrived_late(callers, &instance, from).await;
+        assert_eq!(late, 0, "of {sent}; {}", events(&fleet, 0));
+    });
+}
+
+#[test]
+fn an_instance_that_is_well_serves_soon_after_a_kill_of_all_daemons() {
+    // Guards against an instance that is kept out because no daemon is left that could say
+    // whether it left: its health is enough.
+    run(async {
+        let mut fleet = serving(4).await;
+        (0..4).for_each(|i| fleet.kill(i));
+        let started = Instant::now();
+        (0..4).for_each(|i| fleet.restart(i));
+        for i in 0..4 {
+            let known = async |fleet: &HostedFleet| fleet.sees_instances(i, 4).await;
+            assert!(fleet.wait(known).await, "{}", events(&fleet, i));
+        }
+        assert!(started.elapsed() < RETURN_TIMEOUT, "{:?}", started.elapsed());
+    });
+}
+
 #[test]
 fn a_leaving_acknowledged_in_a_partition_is_known_after_it() {
     // Guards against a daemon that cannot tell anybody of a leaving, fails to acknowledge it in
