Let no number of reports outweigh a health that denies them

Callers saw: after a kill of all daemons, requests reach an instance whose leaving had been acknowledged, until it ends.

Cause: a daemon that has just started asked the instance's health about its first report, was told no, and announced it all the same by the second report 0.4 s or more later. Several reports can be late as well as one, so that a report is no evidence that its instance has not left. Evidence: the log of the test, 'report 100000 may be late', then 'announced, by report 100001'.

Two reports still bring back an upstream that the running daemon itself found gone, of which no leaving was acknowledged; an end without a known start time no longer counts as that. Ruled out: the store as a memory (two calls a leaving, and it goes away), since a leaving instance's health says no.

The core's test of the first reports expected the second of two to be believed; that was the fault, and the test now asks for more: none is believed within ten seconds, and none after a denial.

--- a/crates/core/src/membership/reports.rs
+++ b/crates/core/src/membership/reports.rs
@@ -4,12 +4,16 @@
 //! new one by what it remembers: the last report of each incarnation, and the incarnations
 //! that ended. A daemon that has just started remembers nothing, so that the first report to
 //! arrive is not evidence by itself: it may have been sent before the start, by an upstream
-//! that has left since. The same holds for an upstream that was found gone. In both cases a
-//! report is believed once the upstream's health confirms it, or a later report does.
+//! that has left since. Nor is the second one, since several reports may be late. Such a report
+//! is believed once the upstream's health confirms it, which a leaving upstream's does not. A
+//! health that denies it outweighs all reports of the same incarnation until it confirms one.
+//!
+//! A report of an upstream that this daemon itself found gone is believed once its health or
+//! a later report confirms it: no leaving of it was acknowledged.
 //!
 //! A report from more than [`STARTUP_WINDOW`] after the start was not sent before it, and
 //! one with a later start time than that of a known incarnation is of a new incarnation;
-//! both are believed at once.
+//! both are believed at once, unless the health has denied the incarnation.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -22,11 +26,11 @@
 /// Time after a daemon's start in which a report may have been sent before the start: twice
 /// as long as reports are usually late.
 pub const STARTUP_WINDOW: Duration = Duration::from_secs(10);
-/// Shortest time between two reports of which the later confirms the earlier. Reports that
-/// were held up are delivered together.
+/// Shortest time between two reports of an upstream that was found gone of which the later
+/// confirms the earlier. Reports that were held up are delivered together.
 pub const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// Maximum number of incarnations remembered as ended, and as found gone. A host has one
-/// upstream at a time, so sixteen incarnations cover hours.
+/// Maximum number of incarnations remembered as ended, as found gone, and as denied. A host has
+/// one upstream at a time, so sixteen incarnations cover hours.
 const MAX_REMEMBERED: usize = 16;
 
 /// What identifies a report.
@@ -47,7 +51,7 @@
     Current,
     /// It comes late from an incarnation that has ended or was found gone.
     Outdated,
-    /// It may be late; the upstream's health, or a later report, has to confirm it.
+    /// It may be late; the upstream's health has to confirm it.
     Unconfirmed,
 }
 
@@ -72,15 +76,22 @@
     ended: VecDeque<Ended>,
     /// The last reports of upstreams that were found gone, newest last.
     gone: VecDeque<ReportId>,
-    /// The first report that waits to be confirmed.
+    /// Incarnations whose health denied a report, by instance id and start time, newest last.
+    denied: VecDeque<(String, u64)>,
+    /// The first report of an upstream found gone that waits to be confirmed.
     unconfirmed: Option<Unconfirmed>,
 }
 
 impl ReportHistory {
     /// Creates the history of a daemon that starts now.
     pub fn new(now: Instant) -> ReportHistory {
-        let (ended, gone) = (VecDeque::new(), VecDeque::new());
-        ReportHistory { started: now, ended, gone, unconfirmed: None }
+        ReportHistory {
+            started: now,
+            ended: VecDeque::new(),
+            gone: VecDeque::new(),
+            denied: VecDeque::new(),
+            unconfirmed: None,
+        }
     }
 
     /// Judges a report. `is_registered` says whether the daemon has an upstream with this
@@ -92,15 +103,22 @@
         if is_registered {
             return Credibility::Current;
         }
+        if self.is_new_incarnation(report) {
+            return Credibility::Current;
+        }
         let gone = self.gone.iter().rev().find(|gone| gone.instance == report.instance);
-        let is_known = gone.is_some() || self.known_starts(&report.instance).next().is_some();
-        match gone {
-            _ if self.is_new_incarnation(report) => Credibility::Current,
-            Some(gone) if report.sequence < gone.sequence => Credibility::Outdated,
-            _ if is_known || now < self.started + STARTUP_WINDOW => {
-                self.judge_unproven(report, now)
-            }
-            _ => Credibility::Current,
+        if let Some(gone) = gone {
+            return match report.sequence < gone.sequence {
+                true => Credibility::Outdated,
+                false => self.judge_return(report, now),
+            };
+        }
+        // An end without a known start time may be of the incarnation that reports.
+        let may_have_ended = self.known_starts(&report.instance).next().is_some();
+        let may_be_late = now < self.started + STARTUP_WINDOW;
+        match may_have_ended || may_be_late || self.is_denied(report) {
+            true => Credibility::Unconfirmed,
+            false => Credibility::Current,
         }
     }
 
@@ -121,7 +139,8 @@
         starts.peek().is_some() && starts.all(is_earlier)
     }
 
-    fn judge_unproven(&mut self, report: &ReportId, now: Instant) -> Credibility {
+    /// Judges a report of an upstream that was found gone, which may be back.
+    fn judge_return(&mut self, report: &ReportId, now: Instant) -> Credibility {
         if let Some(first) = &self.unconfirmed
             && first.id.instance == report.instance
             && first.id.start == report.start
@@ -136,10 +155,29 @@
         Credibility::Unconfirmed
     }
 
+    /// Records that the health of an upstream denies one of its reports.
+    pub fn denied(&mut self, report: &ReportId) {
+        if self.is_denied(report) {
+            return;
+        }
+        self.denied.push_back((report.instance.clone(), report.start));
+        if self.denied.len() > MAX_REMEMBERED {
+            self.denied.pop_front();
+        }
+    }
+
+    fn is_denied(&self, report: &ReportId) -> bool {
+        let is_same = |(instance, start): &(String, u64)| {
+            *instance == report.instance && *start == report.start
+        };
+        self.denied.iter().any(is_same)
+    }
+
     /// Records that an incarnation is announced.
     pub fn announced(&mut self, instance: &str, start: u64) {
         self.ended.retain(|ended| ended.instance != instance || ended.start != start);
         self.gone.retain(|gone| gone.instance != instance);
+        self.denied.retain(|(denied, _)| denied != instance);
         self.unconfirmed = None;
     }
 
--- a/crates/core/tests/reports.rs
+++ b/crates/core/tests/reports.rs
@@ -18,9 +18,10 @@
     ReportId { instance: instance.to_string(), start, sequence }
 }
 
-// Guards against a daemon that takes the first report after its start for the present state.
+// Guards against a daemon that takes reports from before its start for the present state,
+// whether one or several of them arrive late.
 #[test]
-fn the_first_report_after_a_start_has_to_be_confirmed() {
+fn reports_after_a_start_have_to_be_confirmed() {
     let start = Instant::now();
     let mut history = ReportHistory::new(start);
     let at_once = history.judge(&report("a", 0, 9), false, start);
@@ -30,7 +31,26 @@
     let after = ReportHistory::new(start).judge(&report("a", 0, 9), false, start + STARTUP_WINDOW);
     insta::assert_compact_debug_snapshot!(
         [at_once, held_up_together, same_again, later, after],
-        @"[Unconfirmed, Unconfirmed, Unconfirmed, Current, Current]"
+        @"[Unconfirmed, Unconfirmed, Unconfirmed, Unconfirmed, Current]"
+    );
+}
+
+// Guards against late reports that outweigh a health which denied one of them, however late
+// they are, and against the next incarnation that is kept out with the denied one.
+#[test]
+fn a_denial_outweighs_reports_until_health_confirms_one() {
+    let start = Instant::now();
+    let now = start + STARTUP_WINDOW;
+    let mut history = ReportHistory::new(start);
+    history.denied(&report("a", 5, 9));
+    let much_later = history.judge(&report("a", 5, 12), false, now);
+    let another = history.judge(&report("b", 5, 1), false, now);
+    let next_incarnation = history.judge(&report("a", 6, 1), false, now);
+    history.announced("a", 5);
+    let confirmed = history.judge(&report("a", 5, 13), false, now);
+    insta::assert_compact_debug_snapshot!(
+        [much_later, another, next_incarnation, confirmed],
+        @"[Unconfirmed, Current, Current, Current]"
     );
 }
 
@@ -66,9 +86,10 @@
     let later = history.judge(&report("a", 6, 1), false, now);
     history.ended("b", 0, now);
     let may_be_the_same = history.judge(&report("b", 5, 9), false, now);
+    let repeated = history.judge(&report("b", 5, 10), false, now + REPEAT_INTERVAL);
     insta::assert_compact_debug_snapshot!(
-        [same, unknown_start, earlier, later, may_be_the_same],
-        @"[Outdated, Outdated, Outdated, Current, Unconfirmed]"
+        [same, unknown_start, earlier, later, may_be_the_same, repeated],
+        @"[Outdated, Outdated, Outdated, Current, Unconfirmed, Unconfirmed]"
     );
 }
 
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -89,6 +89,11 @@
         credibility
     }
 
+    /// Records that the health of an upstream denies a report, which is not applied.
+    pub fn record_denial(&self, denied: &Announcement) {
+        lock(&self.inner).history.denied(&report_id(denied));
+    }
+
     /// Applies a report; returns `false` if the instance was not announced.
     pub fn report(&self, d: &Daemon, instance: &str, readiness: Readiness) -> bool {
         let found = lock(&self.inner).find_instance(instance);
@@ -237,6 +242,11 @@
     }
 }
 
+fn report_id(announcement: &Announcement) -> ReportId {
+    let Announcement { instance, start, sequence, .. } = announcement;
+    ReportId { instance: instance.clone(), start: *start, sequence: *sequence }
+}
+
 /// Asks an upstream that sends no reports for its health.
 fn check_health(d: &Arc<Daemon>, local: Arc<LocalUpstream>) {
     let d = d.clone();
@@ -256,7 +266,7 @@
     ) -> Announced {
         let (name, start) = (announcement.instance.clone(), announcement.start);
         let found = self.find_instance(&name);
-        let report = ReportId { instance: name.clone(), start, sequence: announcement.sequence };
+        let report = report_id(&announcement);
         let is_harmless = announcement.readiness == Readiness::Draining
             && !self.has_other_at(announcement.address, &name);
         match self.history.judge(&report, found.is_some(), now) {
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -7,7 +7,7 @@
 //!
 //! Failure: the first report to arrive after a start was sent before it, by an upstream that
 //! has left since. Symptom: the upstream gets calls until it ends. Such a report counts only
-//! if the upstream's health confirms it ([`confirm`]).
+//! if the upstream's health confirms it ([`confirm`]), however many of them arrive.
 
 use super::gates::Evidence;
 use super::in_band::{self, Signals};
@@ -67,21 +67,28 @@
     }
 }
 
-/// Returns whether a report, which may be late, is confirmed by the health of its upstream.
-/// Other daemons are heard first, if there are any: they know whether the upstream left.
+/// Returns what the health of an upstream says about a report that may be late. Other daemons
+/// are heard first, if there are any: they know whether the upstream left.
 ///
-/// Before the first configuration, which names the health path, the word of the others is
-/// enough.
-pub async fn confirm(d: &Daemon, report: &Announcement) -> bool {
-    let confirmed = async {
+/// An upstream that has no slot for the request is asked again. Before the first configuration,
+/// which names the health path, the word of the others is enough.
+pub async fn confirm(d: &Daemon, report: &Announcement) -> Health {
+    let answer = async {
         departures::wait_until_restored(d, d.gates.started()).await;
-        match health::request(d, report.address, &report.instance).await {
-            Health::Good => true,
-            Health::Denied => false,
-            Health::Unknown => d.versions.running_version() == 0 && d.departures.is_restored(),
+        loop {
+            match health::request(d, report.address, &report.instance).await {
+                Health::Unknown if d.versions.running_version() == 0 => {
+                    if d.departures.is_restored() {
+                        return Health::Good;
+                    }
+                }
+                Health::Unknown => {}
+                definite => return definite,
+            }
+            Timer::after(PAUSE).await;
         }
     };
-    exec::timeout(CONFIRM_TIMEOUT, confirmed).await.unwrap_or(false)
+    exec::timeout(CONFIRM_TIMEOUT, answer).await.unwrap_or(Health::Unknown)
 }
 
 /// Sends a health request, and returns the announcement and in-band signals in its answer.
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -10,6 +10,7 @@
 use cicadashift_core::ids::CallDigest;
 use cicadashift_core::membership::record::Readiness;
 use cicadashift_core::membership::reports::Credibility;
+use cicadashift_core::membership::silence::Health;
 use cicadashift_edge::interface::{
     Announcement as PlatformAnnouncement, Interface, Malformed, Report as PlatformReport,
 };
@@ -84,8 +85,8 @@
     match report {
         PlatformReport::Announce(announced) => {
             let credibility = d.gates.announce(d, announced.clone(), Evidence::Report);
-            if credibility == Credibility::Unconfirmed && greet::confirm(d, &announced).await {
-                d.gates.announce(d, announced.clone(), Evidence::Confirmed);
+            if credibility == Credibility::Unconfirmed {
+                apply_unconfirmed(d, &announced).await;
             }
             remember_if_leaving(d, &announced.instance).await;
         }
@@ -98,6 +99,20 @@
     json(serde_json::json!({}))
 }
 
+/// Applies a report that may be late if the upstream's health confirms it.
+async fn apply_unconfirmed(d: &Arc<Daemon>, announced: &PlatformAnnouncement) {
+    match greet::confirm(d, announced).await {
+        Health::Good => {
+            d.gates.announce(d, announced.clone(), Evidence::Confirmed);
+        }
+        Health::Denied => {
+            log::info!("upstream {}: health denies its report", announced.instance);
+            d.gates.record_denial(announced);
+        }
+        Health::Unknown => log::info!("upstream {}: health is not known", announced.instance),
+    }
+}
+
 /// Logs what a leave message was applied to: it may be late, or name another incarnation.
 fn log_left(instance: &str, removed: Removed) {
     let Removed { was_present, start } = removed;
