Acknowledge a leaving once another failure domain remembers it

Callers could see requests reach an instance whose leaving was acknowledged after its failure domain was lost: the acknowledgement waited for whichever of three daemons answered first, usually the neighbour, which is lost with the domain. A second message of the same leaving was answered at once, while nobody had confirmed the first one.

The answer now waits for a daemon in another failure domain, where one was asked, or half a second, also for a repeated message. Unconfirmed departures stay listed until one is confirmed, in place of being taken out while they are sent.

Cost: a round trip between domains for each leaving; half a second where the other domain does not answer.

--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -2,20 +2,23 @@
 //! acknowledged.
 //!
 //! Before an upstream's leaving is acknowledged, a few other daemons are told, and one of
-//! them has confirmed that it remembers. They spread it by gossip. A daemon that starts asks
+//! them, in another failure domain where there is one, has confirmed that it remembers. They
+//! spread it by gossip. A daemon that starts asks
 //! for the departures of its own host. [`cicadashift_core::membership::departures`] holds
 //! them, and `docs/DESIGN.md`, "What a restart must not forget", has the reasons.
 //!
 //! # Limits
 //!
-//! A daemon that reaches no other acknowledges all the same, since the promise binds it in
-//! any case, and tells the others as soon as it reaches one.
+//! A daemon that reaches no other, or none in another failure domain, acknowledges all the
+//! same after half a second, since the promise binds it in any case. It goes on telling others
+//! until it reaches one.
 
 use super::{Daemon, datagrams, lock, peers};
 use cicadashift_core::ids::{HostKey, IncarnationKey, split_incarnation_name};
 use cicadashift_core::membership::departures::{Departure, Departures};
 use cicadashift_core::membership::gossip::Queue;
 use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::request::choose::Locality;
 use cicadashift_http::exec;
 use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request as Ask, Response};
@@ -51,7 +54,7 @@
     known: Mutex<Departures>,
     /// Departures that remain to be gossiped.
     pending: Mutex<Queue<(HostKey, IncarnationKey), Departure>>,
-    /// Departures of this host that no other daemon has confirmed, and when they were last
+    /// Departures of this host that no other daemon has confirmed yet, and when they were last
     /// sent.
     unconfirmed: Mutex<Vec<(Departure, Instant)>>,
     /// Whether another daemon has returned the departures of this host since the start.
@@ -74,6 +77,27 @@
         self.is_restored.load(Ordering::Relaxed)
     }
 
+    /// Returns the departure of an instance of this host that no other daemon has confirmed.
+    fn unconfirmed_of(&self, instance: &str) -> Option<Departure> {
+        let unconfirmed = lock(&self.unconfirmed);
+        let of_instance = |(departure, _): &&(Departure, Instant)| departure.instance == instance;
+        unconfirmed.iter().find(of_instance).map(|(departure, _)| departure.clone())
+    }
+
+    /// Returns the unconfirmed departures that are to be sent again now.
+    fn take_due(&self, now: Instant) -> Vec<Departure> {
+        let mut unconfirmed = lock(&self.unconfirmed);
+        unconfirmed.retain(|(departure, _)| {
+            self.contains(departure.host, &departure.instance, departure.start, now)
+        });
+        let due = unconfirmed.iter_mut().filter(|(_, sent)| now >= *sent + RETRY_INTERVAL);
+        due.map(|(departure, sent)| {
+            *sent = now;
+            departure.clone()
+        })
+        .collect()
+    }
+
     /// Returns the number of departures known.
     pub fn count(&self) -> usize {
         lock(&self.known).len()
@@ -85,27 +109,42 @@
     }
 }
 
-/// Records that an upstream on this host is leaving, and returns once another daemon
-/// remembers it or [`REPLICATION_TIMEOUT`] has passed. Logs what the acknowledgement, which
-/// follows, rests on.
+/// Records that an upstream on this host is leaving, and returns once enough other daemons
+/// remember it or [`REPLICATION_TIMEOUT`] has passed, also where an earlier message of the
+/// same leaving still waits for that. Logs what the acknowledgement, which follows, rests on.
 pub async fn record_own(d: &Arc<Daemon>, instance: &str, start: u64) {
     let began = d.clock.now();
     let departure = Departure::new(d.me, instance, start, d.clock.wall_ms());
-    if !merge(d, std::slice::from_ref(&departure)) {
+    if merge(d, std::slice::from_ref(&departure)) {
+        lock(&d.departures.unconfirmed).push((departure, began));
+    }
+    let Some(departure) = d.departures.unconfirmed_of(instance) else {
         log::debug!("upstream {instance}, started at {start}, is known to be leaving");
         return;
+    };
+    match confirm(d, &departure).await {
+        true => {
+            let took = d.clock.now().saturating_duration_since(began).as_millis();
+            log::info!(
+                "another daemon remembers after {took} ms that upstream {instance}, started at \
+                 {start}, is leaving"
+            );
+        }
+        false => {
+            d.metrics.incr("upstream.leaving_unconfirmed");
+            log::warn!("no other daemon confirms that upstream {instance} is leaving");
+        }
     }
-    if replicate(d, &departure).await {
-        let took = d.clock.now().saturating_duration_since(began).as_millis();
-        log::info!(
-            "another daemon remembers after {took} ms that upstream {instance}, started at \
-             {start}, is leaving"
-        );
-        return;
+}
+
+/// Has other daemons remember a departure of this host; returns whether they confirm it.
+async fn confirm(d: &Arc<Daemon>, departure: &Departure) -> bool {
+    let is_confirmed = replicate(d, departure).await;
+    if is_confirmed {
+        let key = departure.key();
+        lock(&d.departures.unconfirmed).retain(|(other, _)| other.key() != key);
     }
-    d.metrics.incr("upstream.leaving_unconfirmed");
-    log::warn!("no other daemon confirms that upstream {instance} is leaving");
-    lock(&d.departures.unconfirmed).push((departure, d.clock.now()));
+    is_confirmed
 }
 
 /// Merges departures that were observed here or received from other daemons; returns whether
@@ -136,27 +175,45 @@
     })
 }
 
-/// Tells other daemons of a departure; returns whether one of them confirms in time that it
-/// remembers it.
+/// Tells other daemons of a departure; returns whether they confirm in time that they remember
+/// it: one in another failure domain, since the own one may be lost as a whole, or any where
+/// none in another domain was asked or answers.
 async fn replicate(d: &Arc<Daemon>, departure: &Departure) -> bool {
     let departures = vec![departure.clone()];
-    ask_replicas(d, &Ask::Departures { host: d.me, departures }).await
+    let asked = ask_replicas(d, &Ask::Departures { host: d.me, departures });
+    let mut is_confirmed = false;
+    while let Ok(locality) = asked.answers.recv().await {
+        is_confirmed = true;
+        if locality == Locality::OtherDomain || !asked.includes_other_domain {
+            break;
+        }
+    }
+    is_confirmed
+}
+
+/// Daemons that were asked at the same time.
+struct Asked {
+    /// One message for each that answers; closed when no answer is awaited any more.
+    answers: smol::channel::Receiver<Locality>,
+    includes_other_domain: bool,
 }
 
-/// Sends a request to some other daemons at the same time and merges what they answer;
-/// returns whether one has answered as soon as that is known.
-async fn ask_replicas(d: &Arc<Daemon>, request: &Ask) -> bool {
+/// Sends a request to some other daemons at the same time and merges what they answer.
+fn ask_replicas(d: &Arc<Daemon>, request: &Ask) -> Asked {
     let silent = lock(&d.liveness).silent_hosts();
-    let (tx, rx) = smol::channel::bounded(REPLICAS);
+    let (tx, answers) = smol::channel::bounded(REPLICAS);
+    let mut includes_other_domain = false;
     for host in d.members.replicas(&silent, REPLICAS) {
         let Some(to) = d.members.address(host) else { continue };
+        let locality = locality(d, host);
+        includes_other_domain |= locality == Locality::OtherDomain;
         let (d, request, tx) = (d.clone(), request.clone(), tx.clone());
         exec::spawn(async move {
             match peers::ask(&d, to, &request, REPLICATION_TIMEOUT).await {
                 Ok(Response::Departures(departures)) => {
                     merge(&d, &departures);
                     d.departures.is_restored.store(true, Ordering::Relaxed);
-                    let _another_answered_first = tx.try_send(());
+                    let _nobody_waits_any_more = tx.try_send(locality);
                 }
                 Ok(_) => log::debug!("{to}: unexpected answer about departures"),
                 Err(err) => log::debug!("{to}: no answer about departures: {err}"),
@@ -164,8 +221,14 @@
         })
         .detach();
     }
-    drop(tx);
-    rx.recv().await.is_ok()
+    Asked { answers, includes_other_domain }
+}
+
+fn locality(d: &Daemon, host: HostKey) -> Locality {
+    match d.members.is_in_other_domain(host) {
+        true => Locality::OtherDomain,
+        false => Locality::SameDomain,
+    }
 }
 
 /// Answers a request of the daemon of `host`, which may also bring departures.
@@ -190,7 +253,8 @@
 }
 
 async fn restore(d: &Arc<Daemon>) -> bool {
-    ask_replicas(d, &Ask::Departures { host: d.me, departures: Vec::new() }).await
+    let asked = ask_replicas(d, &Ask::Departures { host: d.me, departures: Vec::new() });
+    asked.answers.recv().await.is_ok()
 }
 
 /// Returns once other daemons were asked for the departures of this host, or
@@ -206,23 +270,9 @@
 pub fn tick(d: &Arc<Daemon>) {
     let now = d.clock.now();
     lock(&d.departures.known).sweep(now);
-    let due: Vec<Departure> = {
-        let mut unconfirmed = lock(&d.departures.unconfirmed);
-        let (due, later) = unconfirmed.drain(..).partition(|(_, at)| now >= *at + RETRY_INTERVAL);
-        *unconfirmed = later;
-        let due: Vec<(Departure, Instant)> = due;
-        due.into_iter().map(|(departure, _)| departure).collect()
-    };
-    for departure in due {
+    for departure in d.departures.take_due(now) {
         let d = d.clone();
-        exec::spawn(async move {
-            let is_known =
-                d.departures.contains(d.me, &departure.instance, departure.start, d.clock.now());
-            if is_known && !replicate(&d, &departure).await {
-                lock(&d.departures.unconfirmed).push((departure, d.clock.now()));
-            }
-        })
-        .detach();
+        exec::spawn(async move { confirm(&d, &departure).await }).detach();
     }
 }
 
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -26,6 +26,8 @@
 const OLD_SEQUENCE: u64 = 0;
 /// Sequence number of the first heartbeat that was on its way when its instance left.
 const LATE_SEQUENCE: u64 = 100_000;
+/// Time for which a daemon waits until another one remembers a leaving.
+const REPLICATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time within which instances must be in use again after their daemons started: one second to
 /// ask other daemons, and the time to spread it.
 const RETURN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -183,6 +185,47 @@
     });
 }
 
+#[test]
+fn a_leaving_is_acknowledged_once_another_failure_domain_remembers_it() {
+    // Guards against a leaving that only the acknowledging daemon and its neighbour know, and
+    // that is lost with their failure domain.
+    run(async {
+        let fleet = serving(4).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        fleet.signal(2, "-STOP");
+        fleet.signal(3, "-STOP");
+        let began = Instant::now();
+        assert!(instance.leave().await);
+        let waited = began.elapsed();
+        fleet.signal(2, "-CONT");
+        fleet.signal(3, "-CONT");
+        assert!(waited >= REPLICATION_TIMEOUT && waited < ACK_TIMEOUT, "{waited:?}");
+    });
+}
+
+#[test]
+fn a_repeated_leaving_is_not_acknowledged_before_the_first_is_remembered() {
+    // Guards against a second message that is answered at once, while no other daemon has
+    // confirmed the first one.
+    run(async {
+        let fleet = serving(2).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        fleet.signal(1, "-STOP");
+        let first = {
+            let instance = instance.clone();
+            exec::spawn(async move { instance.drain().await })
+        };
+        smol::Timer::after(Duration::from_millis(100)).await;
+        let began = Instant::now();
+        assert!(instance.leave().await);
+        let waited = began.elapsed();
+        assert!(first.await);
+        fleet.signal(1, "-CONT");
+        let first_left = REPLICATION_TIMEOUT - Duration::from_millis(150);
+        assert!(waited >= first_left && waited < ACK_TIMEOUT, "{waited:?}");
+    });
+}
+
 #[test]
 fn an_instance_that_is_well_serves_soon_after_a_kill_of_all_daemons() {
     // Guards against an instance that is kept out because no daemon is left that could say
