Ask daemons that were running before for the leavings of a host

Callers saw requests reach an instance whose leaving had been acknowledged, after both daemons of its failure domain were killed, although the other domain remembered it.

Cause: a daemon that starts asked others for the leavings of its host until any of them had answered. The neighbour, killed and started with it, answered first that nothing left, which it could not know; then the instance was announced by its health. The log: 'found by asking it' 52 ms after the start, 'is leaving, as other daemons remember' 1.5 s later, by the second question.

Only a daemon that started at least 3 s earlier, by its record, answers for the time before (core membership/restoration). Where none is known, one of another failure domain has to answer, or half a second has to pass; a second at most, as before. Until such a daemon has answered, those that are found later, such as after a cut, are asked.

Cost: a host that finds nobody older waits half a second in place of the first answer, at most, and nothing where another domain answers.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -6,8 +6,9 @@
 //! transfers the changes in a journal ([`table`]). [`detector`] probes a constant
 //! number of members per period, however many there are.
 //!
-//! [`departures`] are the upstreams that are leaving, which all daemons remember, and
-//! [`reports`] and [`silence`] judge what a daemon knows of the upstream on its host.
+//! [`departures`] are the upstreams that are leaving, which all daemons remember,
+//! [`restoration`] is how a daemon that starts learns of them, and [`reports`] and [`silence`]
+//! judge what a daemon knows of the upstream on its host.
 //!
 //! No decision about correctness relies on membership: a wrong view costs latency
 //! or a refused call. It never activates a wrong version, which [`crate::delivery`]
@@ -25,5 +26,6 @@
 pub mod liveness;
 pub mod record;
 pub mod reports;
+pub mod restoration;
 pub mod silence;
 pub mod table;
--- a/crates/core/tests/reports.rs
+++ b/crates/core/tests/reports.rs
@@ -7,6 +7,9 @@
 use cicadashift_core::membership::reports::{
     REPEAT_INTERVAL, ReportHistory, ReportId, STARTUP_WINDOW,
 };
+use cicadashift_core::membership::restoration::{
+    DISCOVERY_TIME, ELDER_MARGIN, RESTORE_TIMEOUT, Restoration,
+};
 use std::time::{Duration, Instant};
 
 const HOST: HostKey = HostKey(7);
@@ -162,3 +165,27 @@
     assert_eq!(one.len(), MAX_PER_HOST);
     assert!(one.contains(HOST, "i-99", 1, start));
 }
+
+// Guards against a daemon that takes the word of one that has just started itself, and knows
+// nothing, for proof that no upstream left.
+#[test]
+fn only_a_daemon_that_was_there_before_answers_for_the_time_before() {
+    let start = Instant::now();
+    let new = Restoration::new(AT_MS, start);
+    let elder = AT_MS - ELDER_MARGIN.as_millis() as u64;
+    let state = |answers: &[(u64, bool)], knows_elder: bool, after: Duration| {
+        let mut restoration = new.clone();
+        answers.iter().for_each(|(other, is_far)| restoration.answered(*other, *is_far));
+        (restoration.is_complete(), restoration.is_settled(knows_elder, start + after))
+    };
+    let nobody = [TICK, DISCOVERY_TIME, RESTORE_TIMEOUT].map(|after| state(&[], false, after));
+    let by_elder = state(&[(elder, false)], true, TICK);
+    let neighbour = [TICK, DISCOVERY_TIME].map(|after| state(&[(AT_MS, false)], false, after));
+    let other_domain = state(&[(AT_MS - 1, true)], false, TICK);
+    let elder_is_known = [TICK, DISCOVERY_TIME, RESTORE_TIMEOUT]
+        .map(|after| state(&[(AT_MS, false), (AT_MS, true)], true, after));
+    insta::assert_compact_debug_snapshot!(
+        (nobody, by_elder, neighbour, other_domain, elder_is_known),
+        @"([(false, false), (false, false), (false, true)], (true, true), [(false, false), (false, true)], (false, true), [(false, false), (false, false), (false, true)])"
+    );
+}
--- a/src/daemon/departures.rs
+++ b/src/daemon/departures.rs
@@ -3,9 +3,10 @@
 //!
 //! Before an upstream's leaving is acknowledged, a few other daemons are told, and one of
 //! them, in another failure domain where there is one, has confirmed that it remembers. They
-//! spread it by gossip. A daemon that starts asks
-//! for the departures of its own host. [`cicadashift_core::membership::departures`] holds
-//! them, and `docs/DESIGN.md`, "What a restart must not forget", has the reasons.
+//! spread it by gossip. A daemon that starts asks for the departures of its own host, and goes
+//! on asking until one that was running before has answered
+//! ([`cicadashift_core::membership::restoration`]). [`cicadashift_core::membership::departures`]
+//! holds them, and `docs/DESIGN.md`, "What a restart must not forget", has the reasons.
 //!
 //! # Limits
 //!
@@ -14,15 +15,15 @@
 //! until it reaches one.
 
 use super::{Daemon, datagrams, lock, peers};
-use cicadashift_core::ids::{HostKey, IncarnationKey, split_incarnation_name};
-use cicadashift_core::membership::departures::{Departure, Departures};
+use cicadashift_core::ids::{HostKey, Incarnation, IncarnationKey, split_incarnation_name};
+use cicadashift_core::membership::departures::{DEPARTURE_TTL, Departure, Departures};
 use cicadashift_core::membership::gossip::Queue;
 use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::membership::restoration::Restoration;
 use cicadashift_core::request::choose::Locality;
 use cicadashift_http::exec;
 use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc::{Request as Ask, Response};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -34,11 +35,10 @@
 const REPLICATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two attempts to tell others of a departure that none has confirmed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1000);
-/// Time after the start within which another daemon should have returned the departures of
-/// this host. A daemon that finds no other goes by what the upstream itself says.
-const RESTORE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval of checks whether the departures of this host have been returned.
 const RESTORE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval of checks whether a daemon that was running before this one has been found.
+const ELDER_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// First and longest time between two attempts to ask other daemons after a start.
 const RESTORE_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(1000));
@@ -49,7 +49,6 @@
 const PER_DATAGRAM: usize = 16;
 
 /// The departures that this daemon knows.
-#[derive(Default)]
 pub struct KnownDepartures {
     known: Mutex<Departures>,
     /// Departures that remain to be gossiped.
@@ -57,11 +56,21 @@
     /// Departures of this host that no other daemon has confirmed yet, and when they were last
     /// sent.
     unconfirmed: Mutex<Vec<(Departure, Instant)>>,
-    /// Whether another daemon has returned the departures of this host since the start.
-    is_restored: AtomicBool,
+    /// What other daemons have returned since the start.
+    restoration: Mutex<Restoration>,
 }
 
 impl KnownDepartures {
+    /// Creates the state of a daemon that starts now, in this incarnation.
+    pub fn new(incarnation: Incarnation, now: Instant) -> KnownDepartures {
+        KnownDepartures {
+            known: Mutex::default(),
+            pending: Mutex::default(),
+            unconfirmed: Mutex::default(),
+            restoration: Mutex::new(Restoration::new(incarnation, now)),
+        }
+    }
+
     /// Returns whether an incarnation of an instance is leaving or has left.
     pub fn contains(&self, host: HostKey, instance: &str, start: u64, now: Instant) -> bool {
         lock(&self.known).contains(host, instance, start, now)
@@ -72,9 +81,10 @@
         lock(&self.known).of_host(host, now)
     }
 
-    /// Returns whether another daemon has returned the departures of this host since the start.
+    /// Returns whether a daemon that was running before this one has returned the departures of
+    /// this host since the start.
     pub fn is_restored(&self) -> bool {
-        self.is_restored.load(Ordering::Relaxed)
+        lock(&self.restoration).is_complete()
     }
 
     /// Returns the departure of an instance of this host that no other daemon has confirmed.
@@ -201,18 +211,24 @@
 /// Sends a request to some other daemons at the same time and merges what they answer.
 fn ask_replicas(d: &Arc<Daemon>, request: &Ask) -> Asked {
     let silent = lock(&d.liveness).silent_hosts();
+    ask_all(d, &d.members.replicas(&silent, REPLICAS, |_| true), request)
+}
+
+fn ask_all(d: &Arc<Daemon>, hosts: &[HostKey], request: &Ask) -> Asked {
     let (tx, answers) = smol::channel::bounded(REPLICAS);
     let mut includes_other_domain = false;
-    for host in d.members.replicas(&silent, REPLICAS) {
-        let Some(to) = d.members.address(host) else { continue };
-        let locality = locality(d, host);
+    for host in hosts {
+        let Some(record) = d.members.get(*host) else { continue };
+        let Some(to) = d.members.address(*host) else { continue };
+        let locality = locality(d, *host);
         includes_other_domain |= locality == Locality::OtherDomain;
         let (d, request, tx) = (d.clone(), request.clone(), tx.clone());
         exec::spawn(async move {
             match peers::ask(&d, to, &request, REPLICATION_TIMEOUT).await {
                 Ok(Response::Departures(departures)) => {
                     merge(&d, &departures);
-                    d.departures.is_restored.store(true, Ordering::Relaxed);
+                    let is_far = locality == Locality::OtherDomain;
+                    lock(&d.departures.restoration).answered(record.life, is_far);
                     let _nobody_waits_any_more = tx.try_send(locality);
                 }
                 Ok(_) => log::debug!("{to}: unexpected answer about departures"),
@@ -237,31 +253,62 @@
     Response::Departures(d.departures.of_host(host, d.clock.now()))
 }
 
-/// Asks other daemons for the departures of this host after a start, twice.
+/// Asks other daemons for the departures of this host after a start, until one that was running
+/// before has answered or all such memory has expired.
 pub async fn run(d: Arc<Daemon>) {
+    let expired = d.gates.started() + DEPARTURE_TTL;
     let mut pause = RESTORE_BACKOFF.0;
-    while !d.departures.is_restored() {
+    while !d.departures.is_restored() && d.clock.now() < expired {
+        if !knows_elder(&d) && is_settled(&d) {
+            // Others may be found later, such as after a partition.
+            Timer::after(ELDER_POLL_INTERVAL).await;
+            continue;
+        }
         let answered = exec::timeout(pause, restore(&d)).await;
         // While an answer is awaited, others are asked as well: those asked first may be down.
-        if answered == Some(false) {
+        if answered.is_some() && !d.departures.is_restored() {
             Timer::after(pause).await;
         }
         pause = pause.mul_f64(1.5).min(RESTORE_BACKOFF.1);
     }
+    log::info!("departures of this host are restored: {}", d.departures.is_restored());
     Timer::after(SECOND_RESTORE_DELAY).await;
     restore(&d).await;
 }
 
-async fn restore(d: &Arc<Daemon>) -> bool {
-    let asked = ask_replicas(d, &Ask::Departures { host: d.me, departures: Vec::new() });
-    asked.answers.recv().await.is_ok()
+/// Asks daemons that were running before this one, or others where none is known; returns once
+/// one has answered or none will.
+async fn restore(d: &Arc<Daemon>) {
+    let silent = lock(&d.liveness).silent_hosts();
+    let elders = d.members.replicas(&silent, REPLICAS, |other| is_elder(d, other));
+    let hosts = match elders.is_empty() {
+        true => d.members.replicas(&silent, REPLICAS, |_| true),
+        false => elders,
+    };
+    let asked = ask_all(d, &hosts, &Ask::Departures { host: d.me, departures: Vec::new() });
+    if asked.answers.recv().await.is_err() {
+        log::debug!("no daemon answers about the departures of this host");
+    }
+}
+
+fn is_elder(d: &Daemon, other: Incarnation) -> bool {
+    lock(&d.departures.restoration).is_elder(other)
+}
+
+/// Returns whether a live daemon is known that was running before this one.
+fn knows_elder(d: &Daemon) -> bool {
+    d.members.has_live(|other| is_elder(d, other))
+}
+
+fn is_settled(d: &Daemon) -> bool {
+    let knows_elder = knows_elder(d);
+    lock(&d.departures.restoration).is_settled(knows_elder, d.clock.now())
 }
 
-/// Returns once other daemons were asked for the departures of this host, or
-/// [`RESTORE_TIMEOUT`] after `started`.
-pub async fn wait_until_restored(d: &Daemon, started: Instant) {
-    let until = started + RESTORE_TIMEOUT;
-    while !d.departures.is_restored() && d.clock.now() < until {
+/// Returns once other daemons have told what they remember of this host, as far as that is to
+/// be expected.
+pub async fn wait_until_settled(d: &Daemon) {
+    while !is_settled(d) {
         Timer::after(RESTORE_POLL_INTERVAL).await;
     }
 }
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -37,7 +37,7 @@
     while d.versions.running_version() == 0 {
         Timer::after(CONFIG_POLL_INTERVAL).await;
     }
-    departures::wait_until_restored(&d, d.gates.started()).await;
+    departures::wait_until_settled(&d).await;
     for _ in 0..ATTEMPTS {
         if !d.gates.all().is_empty() {
             return;
@@ -74,7 +74,7 @@
 /// which names the health path, the word of the others is enough.
 pub async fn confirm(d: &Daemon, report: &Announcement) -> Health {
     let answer = async {
-        departures::wait_until_restored(d, d.gates.started()).await;
+        departures::wait_until_settled(d).await;
         loop {
             match health::request(d, report.address, &report.instance).await {
                 Health::Unknown if d.versions.running_version() == 0 => {
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -393,15 +393,28 @@
         keepers
     }
 
+    /// Returns whether a live daemon whose incarnation satisfies a condition is known.
+    pub fn has_live(&self, is_wanted: impl Fn(Incarnation) -> bool) -> bool {
+        let inner = lock(&self.inner);
+        let is_other = |record: &Record| record.host != self.me && record.is_live();
+        inner.table.iter().any(|record| is_other(record) && is_wanted(record.life))
+    }
+
     /// Returns up to `max` random daemons that are to remember something for this one: one in
-    /// another failure domain, if there is one, and others of the own one. `silent` hosts and
-    /// those that are not marked as alive are left out.
-    pub fn replicas(&self, silent: &[HostKey], max: usize) -> Vec<HostKey> {
+    /// another failure domain, if there is one, and others of the own one. `silent` hosts, those
+    /// that are not marked as alive and those whose incarnation is not wanted are left out.
+    pub fn replicas(
+        &self,
+        silent: &[HostKey],
+        max: usize,
+        is_wanted: impl Fn(Incarnation) -> bool,
+    ) -> Vec<HostKey> {
         let inner = lock(&self.inner);
         let is_usable = |record: &&Record| {
             record.host != self.me
                 && record.health == Health::Alive
                 && !silent.contains(&record.host)
+                && is_wanted(record.life)
         };
         let (mut near, mut far): (Vec<_>, Vec<_>) = inner
             .table
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -404,7 +404,7 @@
             quarantine: quarantine::Quarantine::default(),
             limits: limits::MeshLimits::default(),
             named_limits: in_band::RememberedLimits::default(),
-            departures: departures::KnownDepartures::default(),
+            departures: departures::KnownDepartures::new(incarnation, clock.now()),
             rollouts: rollouts::Rollouts::default(),
             services: services::Services::new(settings.choice),
             gates: gates::Gates::new(clock.now()),
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -185,6 +185,28 @@
     });
 }
 
+#[test]
+fn a_leaving_outlives_the_failure_domain_that_acknowledged_it() {
+    // Guards against a daemon that starts beside another one that has just started, takes its
+    // word that nothing left, and does not ask those that remember.
+    run(async {
+        let mut fleet = serving(4).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        smol::Timer::after(Duration::from_secs(4)).await;
+        let left = leave(&instance, Leaving::Withdrawn).await;
+        smol::Timer::after(Duration::from_millis(100)).await;
+        (0..2).for_each(|i| fleet.kill(i));
+        smol::Timer::after(Duration::from_millis(500)).await;
+        (0..2).for_each(|i| fleet.restart(i));
+        let from = left + DRAIN_TIME;
+        let callers = start_callers(&fleet, &[0, 1, 2, 3], from + CHECKED_TIME);
+        smol::Timer::after(Duration::from_millis(1200)).await;
+        deliver_late_heartbeats(&instance, 2).await;
+        let (late, sent) = arrived_late(callers, &instance, from).await;
+        assert_eq!(late, 0, "of {sent}; {} {}", events(&fleet, 0), events(&fleet, 1));
+    });
+}
+
 #[test]
 fn a_leaving_is_acknowledged_once_another_failure_domain_remembers_it() {
     // Guards against a leaving that only the acknowledging daemon and its neighbour know, and
