Let other tasks run beside an upstream that sends without end

An upstream in trouble may send bytes without end. Callers of a daemon whose upstream sends interim answers (1xx) without end got no answer at all, four seconds after they asked with a route's timeout of 1.5 s, and the daemon served nobody: hyper's parser reads on as long as there are bytes, its task never waits, and the thread runs no other task, the one with the deadline among them.

A connection to an upstream or another daemon is now read in turns of 32 KB, after which its task yields.

The daemon stays under 32 MB.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,6 +6,7 @@
 //! to the next request.
 
 use crate::body::{Body, BodyError};
+use crate::fair::Fair;
 use crate::keep_alive::MAX_KEEP_ALIVE;
 use crate::reactor::Async;
 use crate::{exec, socket};
@@ -259,7 +260,7 @@
     socket::set_options(stream.get_ref());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(FuturesIo::new(stream))
+        .handshake(FuturesIo::new(Fair::new(stream)))
         .await
         .map_err(|err| SendError::Unreached(err.to_string()))?;
     exec::spawn(async move {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod client;
 pub mod exec;
+mod fair;
 pub mod keep_alive;
 pub mod reactor;
 pub mod server;
--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -234,6 +234,15 @@
         self.daemons[i].child.as_mut()?.try_wait().ok()?.and_then(|status| status.code())
     }
 
+    /// Returns the most memory that a running daemon has taken, in bytes.
+    pub fn peak_memory(&self, i: usize) -> Option<u64> {
+        let id = self.daemons[i].child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = peak.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
     /// Changes a field of a daemon's settings file.
     ///
     /// # Panics
--- /dev/null
+++ b/tests/endless.rs
@@ -0,0 +1,124 @@
+//! Upstreams that send bytes without end in place of an answer. The daemon is a real process,
+//! the upstream a stand-in.
+
+mod common;
+
+use cicadashift_http::body;
+use cicadashift_http::client::Pool;
+use cicadashift_http::exec;
+use cicadashift_http::hyper::{Method, Request};
+use cicadashift_testkit::hosted::endless::{Endless, EndlessUpstream};
+use cicadashift_testkit::hosted::fleet::HostedFleet;
+use common::run;
+use serde_json::json;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// The routes' `TimeoutMs`.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after it within which the caller must have its final answer, and the upstream's
+/// connection must be closed.
+const END_TIMEOUT: Duration = Duration::from_millis(500);
+/// Memory that one daemon may take, in bytes.
+const MAX_MEMORY: u64 = 32 << 20;
+/// Calls at the same time: as many as the upstream has slots.
+const CALLS: usize = 4;
+const MODES: [Endless; 7] = [
+    Endless::Noise,
+    Endless::Header,
+    Endless::Interim,
+    Endless::Body,
+    Endless::ChunkSize,
+    Endless::Trailers,
+    Endless::Surplus,
+];
+const ID: &str = "i-endless";
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns a daemon whose only upstream in use sends bytes without end.
+async fn serving_endless(mode: Endless) -> (HostedFleet, EndlessUpstream) {
+    let fleet = HostedFleet::serving(Path::new(env!("CARGO_BIN_EXE_cicadashift")), 1).await;
+    assert!(fleet.daemons[0].instance.drain().await);
+    let is_drained = async |fleet: &HostedFleet| fleet.sees_instances(0, 0).await;
+    assert!(fleet.wait(is_drained).await, "{}", fleet.log(0));
+    let upstream = EndlessUpstream::start(ID, mode);
+    let report = json!({
+        "Address": upstream.addr,
+        "Info": {"Service": "notice", "Version": "v1", "Zone": "a", "Slots": CALLS},
+        "Status": {"State": "ready", "Seq": 1, "ColdMs": 0},
+        "born": 1,
+    });
+    let req = Request::put(format!("/cicadashift/instances/{ID}"))
+        .header("host", "control")
+        .body(body::full(report.to_string()))
+        .expect("a valid request");
+    let control = fleet.daemons[0].control;
+    let res = Pool::new(1).exchange(control, req, 4096, REPORT_TIMEOUT).await;
+    assert!(res.is_ok_and(|res| res.status().is_success()), "{}", fleet.log(0));
+    let is_announced = async |fleet: &HostedFleet| fleet.sees_instances(0, 1).await;
+    assert!(fleet.wait(is_announced).await, "{}", fleet.log(0));
+    (fleet, upstream)
+}
+
+/// Returns the status codes of calls that are sent at the same time, none where no complete
+/// answer arrived, and checks that each ends in time.
+async fn statuses(fleet: &HostedFleet, mode: Endless) -> Vec<Option<u16>> {
+    let calls: Vec<_> = (0..CALLS)
+        .map(|n| {
+            let caller = fleet.caller(0);
+            exec::spawn(async move {
+                let began = Instant::now();
+                let id = format!("{mode:?}-{n}");
+                let res = caller.call(Method::GET, "/notices/1", &id).await;
+                (res.map(|res| res.status().as_u16()), began.elapsed())
+            })
+        })
+        .collect();
+    let mut out = Vec::new();
+    for call in calls {
+        let (status, took) = call.await;
+        assert!(took < ROUTE_TIMEOUT + END_TIMEOUT, "{mode:?}: {took:?}");
+        out.push(status);
+    }
+    out.sort();
+    out.dedup();
+    out
+}
+
+/// Returns the results of calls to an upstream that sends bytes without end, after checks that
+/// it is left in time and that the daemon keeps its memory.
+async fn check(mode: Endless) -> Vec<Option<u16>> {
+    let (fleet, upstream) = serving_endless(mode).await;
+    let statuses = statuses(&fleet, mode).await;
+    let first = exec::timeout(END_TIMEOUT, upstream.closed.recv()).await;
+    let Some(Ok(first)) = first else { panic!("{mode:?}: no connection is closed") };
+    let more = std::iter::from_fn(|| upstream.closed.try_recv().ok());
+    for closed in std::iter::once(first).chain(more) {
+        assert!(closed.after < ROUTE_TIMEOUT + END_TIMEOUT, "{mode:?}: {closed:?}");
+    }
+    let peak = fleet.peak_memory(0).expect("the daemon is running");
+    assert!(peak < MAX_MEMORY, "{mode:?}: {peak} bytes");
+    statuses
+}
+
+// Guards against an upstream whose head or body never ends, which would take a daemon's memory
+// or hold its slots and its callers for ever.
+#[test]
+fn bytes_without_end_take_bounded_time_and_memory() {
+    run(async {
+        let mut results = Vec::new();
+        for mode in MODES {
+            results.push(format!("{mode:?}: {:?}", check(mode).await));
+        }
+        // A body without a stated length is passed on as it arrives, and breaks off.
+        insta::assert_snapshot!(results.join("\n"), @r"
+        Noise: [Some(502)]
+        Header: [Some(502)]
+        Interim: [Some(504)]
+        Body: [None]
+        ChunkSize: [Some(502)]
+        Trailers: [Some(502)]
+        Surplus: [Some(200)]
+        ");
+    });
+}
