Let the soak deliver several late heartbeats and kill daemons together

The soak's instances that leave sent one late heartbeat, older than all others, and only the daemon beside them was killed. They now send one to three, 0.7 s apart and newer than any that was seen, and the daemons of a failure domain, or all, are killed together around a leaving; the health of instances that have left says so then, since nothing else can tell after the end of all that remember.

--- a/tests/soak/leavings.rs
+++ b/tests/soak/leavings.rs
@@ -1,8 +1,10 @@
-//! Instances that leave and go on serving, with a late heartbeat, while daemons are killed.
+//! Instances that leave and go on serving, with late heartbeats, while daemons are killed, also
+//! all of a failure domain or all of the mesh.
 
 use super::{Disturbances, Limits, OUTAGE_TIME, Random, entry_of, unix_ms};
 use cicadashift_http::exec;
 use cicadashift_testkit::hosted::fleet::HostedFleet;
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Time after the acknowledgement from which an instance that leaves gets no new requests.
@@ -12,8 +14,13 @@
 /// Time for which an instance that leaves goes on serving: several times [`DRAIN_TIME`], so that
 /// faults meet it.
 const SERVES_ON: Duration = Duration::from_secs(6);
-/// Least and longest delay of its last heartbeat, in milliseconds.
+/// Least and longest delay of the first of its late heartbeats, in milliseconds.
 const LATE_HEARTBEAT: (u64, u64) = (200, 4000);
+/// Time between two of them, and the most of them.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
+const MAX_LATE_HEARTBEATS: u64 = 3;
+/// Sequence number of the first: higher than any that the daemon has seen.
+const LATE_SEQUENCE: u64 = 100_000;
 
 /// An instance that has left and still serves.
 struct Leaving {
@@ -22,8 +29,10 @@
     instance: String,
     /// When its daemon acknowledged that it leaves.
     acknowledged: Instant,
-    /// When its last heartbeat arrives, until it has.
-    late_heartbeat: Option<Instant>,
+    /// When the late heartbeats arrive that have not arrived yet.
+    late_heartbeats: VecDeque<Instant>,
+    /// Sequence number of the next one.
+    sequence: u64,
     /// When it ended and another incarnation started.
     ended: Option<Instant>,
 }
@@ -46,11 +55,20 @@
         self.all.iter().any(|leaving| leaving.i == i && leaving.ended.is_none())
     }
 
+    /// Has the health of all instances that have left say so: where all that remember a leaving
+    /// are killed, nothing else tells.
+    pub fn deny_health(&self, fleet: &HostedFleet) {
+        for leaving in self.all.iter().filter(|leaving| leaving.ended.is_none()) {
+            fleet.daemons[leaving.i].instance.deny_health(true);
+        }
+    }
+
     /// Has an instance leave, which goes on serving.
     pub async fn begin(&mut self, fleet: &HostedFleet, random: &mut Random, i: usize) -> String {
         let (first, most) = LATE_HEARTBEAT;
         let late_by = Duration::from_millis(first + random.below(most - first));
         let denies_health = random.below(2) == 0;
+        let late_count = 1 + random.below(MAX_LATE_HEARTBEATS) as u32;
         if self.is_leaving(i) {
             return format!("instance {i} is leaving already");
         }
@@ -67,10 +85,13 @@
             i,
             instance: instance.id(),
             acknowledged,
-            late_heartbeat: Some(acknowledged + late_by),
+            late_heartbeats: (0..late_count)
+                .map(|n| acknowledged + late_by + n * HEARTBEAT_INTERVAL)
+                .collect(),
+            sequence: LATE_SEQUENCE,
             ended: None,
         });
-        format!("instance {i} leaves, its last heartbeat {late_by:?} late")
+        format!("instance {i} leaves, {late_count} heartbeats from {late_by:?} on")
     }
 
     /// Delivers the late heartbeats that are due, and ends instances that have served on.
@@ -78,9 +99,10 @@
         let now = Instant::now();
         for leaving in self.all.iter_mut().filter(|leaving| leaving.ended.is_none()) {
             let instance = &fleet.daemons[leaving.i].instance;
-            if leaving.late_heartbeat.is_some_and(|at| now >= at) {
-                leaving.late_heartbeat = None;
-                let late = instance.send_heartbeat_as(&leaving.instance, 0, false);
+            if leaving.late_heartbeats.front().is_some_and(|at| now >= *at) {
+                leaving.late_heartbeats.pop_front();
+                let late = instance.send_heartbeat_as(&leaving.instance, leaving.sequence, false);
+                leaving.sequence += 1;
                 // The timeout keeps a frozen or stopped daemon from delaying all other faults.
                 let _any_outcome = exec::timeout(OUTAGE_TIME, late).await;
             }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -34,7 +34,8 @@
 const CI_SEEDS: std::ops::Range<u64> = 1..4;
 const CI_SECONDS: u64 = 12;
 /// Seeds that have failed, with the cause.
-const REGRESSIONS: [(u64, &str); 0] = [];
+const REGRESSIONS: [(u64, &str); 1] =
+    [(12, "late heartbeats outweighed a health that denied them, after a kill of all daemons")];
 /// Duration of the store outage before a restore from a copy, and of a restart of an instance.
 const OUTAGE_TIME: Duration = Duration::from_millis(300);
 /// Maximum time until all daemons serve again after the last fault.
@@ -498,10 +499,11 @@
         }
         19 | 20 => leavings.begin(fleet, random, i).await,
         21 => {
-            // The daemon beside an instance that is leaving, if there is one.
-            let i = leavings.last().unwrap_or(i);
-            kill_in_series(fleet, disturbances, i, 1 + random.below(3)).await;
-            format!("{i} killed in series")
+            let Some(i) = leavings.last() else {
+                kill_in_series(fleet, disturbances, i, 1 + random.below(3)).await;
+                return format!("{i} killed in series");
+            };
+            kill_around_leaving(run, random, i).await
         }
         _ => {
             operator.version += 1;
@@ -511,6 +513,30 @@
     }
 }
 
+/// Kills daemons around an instance that is leaving: the one beside it, its failure domain, or
+/// all. Returns a description.
+async fn kill_around_leaving(run: &mut Run<'_>, random: &mut Random, i: usize) -> String {
+    let Run { fleet, disturbances, leavings, .. } = run;
+    let count = fleet.daemons.len();
+    let domain = if i < 2 { 0..2.min(count) } else { 2..count };
+    let range = match random.below(4) {
+        0 => domain,
+        1 => 0..count,
+        _ => {
+            kill_in_series(fleet, disturbances, i, 1 + random.below(3)).await;
+            return format!("{i} killed in series");
+        }
+    };
+    leavings.deny_health(fleet);
+    let killed: Vec<usize> = range.filter(|i| !disturbances.stopped.contains(i)).collect();
+    for i in &killed {
+        disturbances.once(*i);
+        fleet.kill(*i);
+    }
+    killed.iter().for_each(|i| fleet.restart(*i));
+    format!("{killed:?} killed together")
+}
+
 /// Kills a daemon several times, and starts it again each time.
 async fn kill_in_series(
     fleet: &mut HostedFleet,
