Wait in a planned stop until slow callers have taken their answers

Callers on slow lines got 220 of 240 KB of an answer when the daemon of their host was stopped: the connection was closed 0.2 s after the last bytes of the body had been taken by hyper, whose write buffer a slow caller had not yet emptied.

A request counts as in flight until hyper has its answer, not until the caller has. A connection now also counts as unfinished while its last write had to wait; the stop's own limit (limits.finish_ms, grace) still ends it, and a caller that takes nothing for the idle timeout is left. Each part that such a caller takes counts as activity, so that an answer which takes longer than the idle timeout is not cut either.

--- a/crates/http/src/ahead/mod.rs
+++ b/crates/http/src/ahead/mod.rs
@@ -32,6 +32,7 @@
 
 mod scan;
 
+use crate::activity::Activity;
 use crate::body::{self, Body};
 use crate::reactor::Async;
 use bytes::{Buf, BytesMut};
@@ -422,7 +423,12 @@
 }
 
 /// The connection's stream that hyper reads from and writes to.
-pub struct Io(pub Arc<ReadAhead>);
+pub struct Io {
+    /// The read side.
+    pub read_ahead: Arc<ReadAhead>,
+    /// Notes whether hyper holds bytes that the peer does not take.
+    pub activity: Arc<Activity>,
+}
 
 impl AsyncRead for Io {
     fn poll_read(
@@ -430,7 +436,7 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read_ahead = &self.0;
+        let read_ahead = &self.read_ahead;
         let mut state = read_ahead.lock();
         loop {
             state.scan_unread(read_ahead.head_bytes);
@@ -475,7 +481,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut &*self.read_ahead.stream).poll_write(cx, buf);
+        self.activity.record_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -483,14 +491,16 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut &*self.read_ahead.stream).poll_write_vectored(cx, bufs);
+        self.activity.record_write(written.is_pending());
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0.stream).poll_flush(cx)
+        Pin::new(&mut &*self.read_ahead.stream).poll_flush(cx)
     }
 
     fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0.stream).poll_close(cx)
+        Pin::new(&mut &*self.read_ahead.stream).poll_close(cx)
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -155,11 +155,12 @@
         // would otherwise hold the memory that a request needs.
         Box::pin(answer(peer, req, service_ahead.clone(), handler.clone(), guard))
     });
+    let io = Io { read_ahead: read_ahead.clone(), activity: activity.clone() };
     let serving = http1::Builder::new()
         .timer(HyperTimer)
         .header_read_timeout(limits.head_timeout + limits.idle_timeout.get())
         .max_buf_size(limits.head_bytes.max(8192))
-        .serve_connection(FuturesIo::new(Io(read_ahead.clone())), service);
+        .serve_connection(FuturesIo::new(io), service);
     let mut serving = std::pin::pin!(serving);
     let start_handler = move |req| exec::spawn(early_handler(peer, req));
     let disconnected = poll_fn(|cx| read_ahead.poll(cx, activity.is_busy(), &start_handler));
@@ -176,7 +177,11 @@
     if let ConnectionEnd::Draining = smol::future::or(closed, draining).await {
         serving.as_mut().graceful_shutdown();
         let closed = smol::future::or(async { drop(serving.await) }, disconnected);
-        smol::future::or(closed, activity.idle_after(LATE_REQUEST_WAIT)).await;
+        let finished = smol::future::or(
+            activity.finished_after(LATE_REQUEST_WAIT),
+            activity.abandoned_after(&limits.idle_timeout, LATE_REQUEST_WAIT),
+        );
+        smol::future::or(closed, finished).await;
     }
 }
 
