Believe a report without a health answer where others remember no leaving

An upstream that is well and whose health requests go unanswered got no calls for ten seconds after a restart of its daemon, since the mend of the late heartbeats: only a health that confirms a report made it believed.

Where a daemon that was running before has answered, and so would remember a leaving, its word is enough after 0.7 s without a health answer.

--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -70,25 +70,25 @@
 /// Returns what the health of an upstream says about a report that may be late. Other daemons
 /// are heard first, if there are any: they know whether the upstream left.
 ///
-/// An upstream that has no slot for the request is asked again. Before the first configuration,
-/// which names the health path, the word of the others is enough.
+/// An upstream that has no slot for the request is asked again. Where its health stays unknown,
+/// such as before the first configuration, which names the health path, the word of a daemon
+/// that remembers is enough.
 pub async fn confirm(d: &Daemon, report: &Announcement) -> Health {
     let answer = async {
         departures::wait_until_settled(d).await;
         loop {
-            match health::request(d, report.address, &report.instance).await {
-                Health::Unknown if d.versions.running_version() == 0 => {
-                    if d.departures.is_restored() {
-                        return Health::Good;
-                    }
-                }
-                Health::Unknown => {}
-                definite => return definite,
+            let health = health::request(d, report.address, &report.instance).await;
+            let has_path = d.versions.running_version() != 0;
+            if health != Health::Unknown || (!has_path && d.departures.is_restored()) {
+                return health;
             }
             Timer::after(PAUSE).await;
         }
     };
-    exec::timeout(CONFIRM_TIMEOUT, answer).await.unwrap_or(Health::Unknown)
+    match exec::timeout(CONFIRM_TIMEOUT, answer).await.unwrap_or(Health::Unknown) {
+        Health::Unknown if d.departures.is_restored() => Health::Good,
+        health => health,
+    }
 }
 
 /// Sends a health request, and returns the announcement and in-band signals in its answer.
