Count a daemon as running before from one and a half seconds on

Daemons that are killed together start within a second of each other, so 1.5 s tell them from those that live on.

--- a/crates/core/src/membership/restoration.rs
+++ b/crates/core/src/membership/restoration.rs
@@ -21,7 +21,7 @@
 
 /// Time by which an established daemon started before this one: clocks of hosts differ, and
 /// daemons that end together do not start at the same moment.
-pub const ESTABLISHED_MARGIN: Duration = Duration::from_secs(3);
+pub const ESTABLISHED_MARGIN: Duration = Duration::from_millis(1500);
 /// Time after the start in which a daemon finds the others.
 pub const DISCOVERY_TIME: Duration = Duration::from_millis(300);
 /// Longest wait for the word of another daemon.
