--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers shared by the tests with real processes.
 #![allow(dead_code)]
 
+pub mod rollout;
+
 use cicadashift_http::exec;
 use cicadashift_testkit::caller::{CallOutcome, Caller};
 use cicadashift_testkit::fleet::Spec;
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -2,129 +2,16 @@
 
 mod common;
 
-use cicadashift_http::exec;
-use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::fleet::HostedFleet;
 use cicadashift_testkit::hosted::instance::AnswerMode;
 use cicadashift_testkit::hosted::store::Outage;
+use common::rollout::{
+    DURATION, Load, MAX_ROLLBACK_TIME, ORDER, is_new, logs, order, runs, start_two_versions, state,
+    wait_for_state, wait_until_running,
+};
 use common::run;
-use serde_json::{Value, json};
-use std::path::Path;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-const STATUS: &str = "status/rollout/notice";
-const ORDER: &str = "op/rollout/notice";
-/// Time within which an ordered rollout must complete.
-const DURATION: Duration = Duration::from_secs(9);
-/// Time after the fiftieth bad answer of a version within which it must be rolled back, so
-/// that no more calls reach it.
-const MAX_ROLLBACK_TIME: Duration = Duration::from_secs(5);
-
-/// Returns whether the instance at an index is of the new version: those at odd indices are.
-fn is_new(i: usize) -> bool {
-    i % 2 == 1
-}
-
-/// Starts daemons, half of them with an instance of the old version and half with one of the
-/// new version.
-async fn start_two_versions(count: usize) -> HostedFleet {
-    let fleet = HostedFleet::serving(Path::new(env!("CARGO_BIN_EXE_cicadashift")), count).await;
-    for i in (0..count).filter(|i| is_new(*i)) {
-        fleet.daemons[i].instance.set_version("v2");
-        assert!(fleet.daemons[i].instance.send_heartbeat().await);
-    }
-    fleet
-}
-
-/// Orders a rollout as the operator does.
-fn order(fleet: &HostedFleet, target: &str) {
-    let order = json!({
-        "Service": "notice", "TargetVersion": target, "DurationS": DURATION.as_secs(),
-    });
-    fleet.store.put(ORDER, order.to_string().as_bytes());
-}
-
-/// Returns the state in the rollout's status.
-fn state(fleet: &HostedFleet) -> Option<String> {
-    let status: Value = serde_json::from_slice(&fleet.store.value(STATUS)?).ok()?;
-    status["State"].as_str().map(str::to_string)
-}
-
-/// Returns how many requests have run so far at the instances of the new or old version.
-fn runs(fleet: &HostedFleet, new: bool) -> usize {
-    let nodes = fleet.daemons.iter().enumerate().filter(|(i, _)| is_new(*i) == new);
-    nodes.map(|(_, node)| node.instance.caller_headers().len()).sum()
-}
-
-/// Callers that send requests until [`Load::end`], which returns the statuses of all answers.
-struct Load {
-    stop: Arc<AtomicBool>,
-    callers: Vec<smol::Task<Vec<Option<u16>>>>,
-}
-
-impl Load {
-    fn start(fleet: &HostedFleet, callers: usize) -> Load {
-        let stop = Arc::new(AtomicBool::new(false));
-        let callers = (0..callers)
-            .map(|c| {
-                let (caller, stop) = (fleet.caller(c % fleet.daemons.len()), stop.clone());
-                exec::spawn(async move {
-                    let mut statuses = Vec::new();
-                    while !stop.load(Ordering::Relaxed) {
-                        let path = format!("/notices/{}", statuses.len());
-                        let id = format!("r-{c}-{}", statuses.len());
-                        let res = caller.call(Method::GET, &path, &id).await;
-                        statuses.push(res.map(|res| res.status().as_u16()));
-                        smol::Timer::after(Duration::from_millis(10)).await;
-                    }
-                    statuses
-                })
-            })
-            .collect();
-        Load { stop, callers }
-    }
-
-    async fn end(self) -> Vec<Option<u16>> {
-        self.stop.store(true, Ordering::Relaxed);
-        let mut all = Vec::new();
-        for caller in self.callers {
-            all.extend(caller.await);
-        }
-        all
-    }
-}
-
-/// Waits until the status has a state; returns how long that took, or `None` if it took
-/// longer than `timeout`.
-async fn wait_for_state(fleet: &HostedFleet, wanted: &str, timeout: Duration) -> Option<Duration> {
-    let started = Instant::now();
-    while started.elapsed() < timeout {
-        if state(fleet).as_deref() == Some(wanted) {
-            return Some(started.elapsed());
-        }
-        smol::Timer::after(Duration::from_millis(20)).await;
-    }
-    None
-}
-
-/// Waits until a daemon has become the decider of the order.
-async fn wait_until_running(fleet: &HostedFleet) {
-    let running = wait_for_state(fleet, "running", Duration::from_secs(3)).await;
-    assert!(running.is_some(), "{}", logs(fleet));
-}
-
-/// Returns the log lines of all daemons that concern rollouts.
-fn logs(fleet: &HostedFleet) -> String {
-    let lines = (0..fleet.daemons.len()).map(|i| {
-        let log = fleet.log(i);
-        let lines: Vec<&str> = log.lines().filter(|line| line.contains("rollout")).collect();
-        format!("daemon {i}\n{}\n", lines.join("\n"))
-    });
-    lines.collect()
-}
-
 #[test]
 fn a_good_version_takes_all_calls_in_time() {
     // A rollout to a version without faults. At first a few of its instances get a small
@@ -141,9 +28,7 @@
         let old = runs(&fleet, false);
         smol::Timer::after(Duration::from_millis(500)).await;
         assert_eq!(runs(&fleet, false), old, "{}", logs(&fleet));
-        let statuses = load.end().await;
-        let bad = statuses.iter().filter(|status| **status != Some(200)).count();
-        assert_eq!(bad, 0, "of {}", statuses.len());
+        load.end_without_failure(&fleet).await;
     });
 }
 
@@ -169,9 +54,7 @@
         assert!(new as f64 <= 0.1 * (new + old) as f64 + 50.0, "{new} of {}", new + old);
         smol::Timer::after(Duration::from_millis(700)).await;
         assert_eq!(runs(&fleet, true), new, "{}", logs(&fleet));
-        let statuses = load.end().await;
-        let bad = statuses.iter().filter(|status| **status != Some(200)).count();
-        assert_eq!(bad, 0, "of {}", statuses.len());
+        load.end_without_failure(&fleet).await;
     });
 }
 
@@ -212,8 +95,7 @@
         order(&fleet, "v3");
         let back = wait_for_state(&fleet, "rolled_back", DURATION).await;
         assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
-        let statuses = load.end().await;
-        assert!(statuses.iter().all(|status| *status == Some(200)));
+        load.end_without_failure(&fleet).await;
     });
 }
 
@@ -272,9 +154,7 @@
         fleet.store.change_faults(|faults| faults.down = None);
         let back = wait_for_state(&fleet, "rolled_back", Duration::from_secs(3)).await;
         assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
-        let statuses = load.end().await;
-        let bad = statuses.iter().filter(|status| **status != Some(200)).count();
-        assert_eq!(bad, 0, "of {}", statuses.len());
+        load.end_without_failure(&fleet).await;
     });
 }
 
@@ -297,8 +177,7 @@
         order(&fleet, "v2");
         let completed = wait_for_state(&fleet, "completed", DURATION).await;
         assert!(completed.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
-        let statuses = load.end().await;
-        assert!(statuses.iter().all(|status| *status == Some(200)));
+        load.end_without_failure(&fleet).await;
     });
 }
 
@@ -312,7 +191,6 @@
         smol::Timer::after(Duration::from_secs(1)).await;
         assert!(runs(&fleet, true) > 0 && runs(&fleet, false) > 0);
         assert_eq!(fleet.store.keys("cicadashift/rollout"), Vec::<String>::new());
-        let statuses = load.end().await;
-        assert!(statuses.iter().all(|status| *status == Some(200)));
+        load.end_without_failure(&fleet).await;
     });
 }
