Write the result of a rollout again after the store refused it

What the operator saw: `running` for ever, for a rollout that has ended. The decider writes the last stage and then the result. Where the store refuses the second write, or the decider ends in between, nobody tried again: the decider proposes nothing after a last stage, keeps its lease, and no follower takes on an order whose stage it knows as ended.

A decider that owns an ended rollout now finishes it in each round, and a follower confirms once for each order, and once in each era, that the store has the result; it writes a missing one if nobody holds the decider key. That replaces the rewrite after a restore of the store, which was the same for one cause. Cost: one read for each follower and ended order; three where the result is missing.

Ruled out: a lost write (the store's answer to the stage is read back).

--- a/crates/testkit/src/hosted/store.rs
+++ b/crates/testkit/src/hosted/store.rs
@@ -46,6 +46,8 @@
     pub delay: Duration,
     /// Number of the next transactions that are executed but never answered.
     pub lose_answers: u32,
+    /// Transactions that write a key with this prefix are answered 503 and not executed.
+    pub refused_writes: Option<&'static str>,
 }
 
 #[derive(Clone)]
@@ -265,6 +267,11 @@
         (&Method::GET, "kv-key") => get(&lock(&state), &query),
         (&Method::GET, "kv-range") => range(&lock(&state), &query),
         (&Method::GET, "kv-watch") => watch(&state, &query).await,
+        (&Method::POST, "kv-txn")
+            if faults.refused_writes.is_some_and(|prefix| writes(&request, prefix)) =>
+        {
+            answer(StatusCode::SERVICE_UNAVAILABLE, &json!({}))
+        }
         (&Method::POST, "kv-txn") => {
             let response = transact(&mut lock(&state), &request);
             lose_or_return(&state, response).await
@@ -388,6 +395,12 @@
     })
 }
 
+/// Returns whether a transaction writes a key with a prefix.
+fn writes(request: &Value, prefix: &str) -> bool {
+    let puts = request["Puts"].as_array().into_iter().flatten();
+    puts.filter_map(|put| put["Key"].as_str()).any(|key| key.starts_with(prefix))
+}
+
 fn parse_query(text: &str) -> HashMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
     pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect()
--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -7,6 +7,8 @@
 //! daemons. So the write of a decider that was frozen or cut off, and still believes to be
 //! the decider, is refused.
 
+use super::result::{ConfirmedResults, state_of, write_status};
+use super::stored::StoredRollout;
 use crate::daemon::{Daemon, lock};
 use crate::store::{ConditionalWrite, KeyValueStore, Lease, PlatformError, Revision, keys};
 use cicadashift_core::membership::record::Record;
@@ -14,10 +16,9 @@
 use cicadashift_core::rollout::decide::{Decider, Proposal, Why};
 use cicadashift_core::rollout::tally::{Quotas, Report};
 use cicadashift_core::rollout::{Order, Phase, Stage};
-use cicadashift_edge::interface::{Interface, RolloutState, RolloutStatus};
+use cicadashift_edge::interface::RolloutState;
 use cicadashift_http::reactor::Timer;
 use cicadashift_wire::rpc;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -47,68 +48,69 @@
     began_ms: u64,
 }
 
-/// The state of a rollout in the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct StoredRollout {
-    stage: Stage,
-    /// When the order was first seen, in Unix milliseconds.
-    began_ms: u64,
-    /// Calls that reached the service and were reported to deciders.
-    seen: u64,
-    /// Calls granted to canaries.
-    granted: u64,
-}
-
 /// Advances the rollouts that this daemon is the decider of, and tries to become the decider
 /// of others, until cancelled.
 pub async fn run(d: Arc<Daemon>) {
-    let mut last_attempts: HashMap<String, Instant> = HashMap::new();
-    // The eras in which the results of rollouts were last written again, by service.
-    let mut result_eras: HashMap<String, u64> = HashMap::new();
+    let mut attempts = Attempts::default();
+    let mut results = ConfirmedResults::default();
     let mut eras = Eras::default();
     loop {
         Timer::after(ROUND_INTERVAL).await;
         eras.update(d.store.era(), d.clock.now());
-        if lock(&d.rollouts.orders).is_empty() && lock(&d.rollouts.owned).is_empty() {
-            continue;
-        }
         let orders: Vec<Order> = lock(&d.rollouts.orders).values().cloned().collect();
-        let owned: Vec<String> = lock(&d.rollouts.owned).keys().cloned().collect();
-        for service in owned {
-            let order = orders.iter().find(|order| order.service == service);
-            if let Err(err) = advance(&d, &service, order).await {
-                log::warn!("rollout of {service}: no progress: {err}");
-                d.metrics.incr("platform.failed");
-            }
+        if orders.is_empty() && lock(&d.rollouts.owned).is_empty() {
+            continue;
         }
-        for order in orders {
+        advance_owned(&d, &orders).await;
+        for order in &orders {
             let now = d.clock.now();
-            let is_due =
-                last_attempts.get(&order.service).is_none_or(|at| now >= *at + ATTEMPT_INTERVAL);
-            if eras.has_just_changed(now) && has_live_decider(&d, &order) {
+            if eras.has_just_changed(now) && has_live_decider(&d, order) {
                 continue;
             }
-            if is_due && may_acquire(&d, &order) {
-                last_attempts.insert(order.service.clone(), now);
-                if let Err(err) = try_acquire(&d, &order).await {
+            if may_acquire(&d, order) && attempts.is_due(&order.service, now) {
+                if let Err(err) = try_acquire(&d, order).await {
                     log::info!(
                         "rollout of {}: failed to start as the decider: {err}",
                         order.service
                     );
                 }
-            } else if is_due && must_rewrite_result(&d, &order, &result_eras) {
-                last_attempts.insert(order.service.clone(), now);
-                match rewrite_result(&d, &order).await {
-                    Ok(()) => drop(result_eras.insert(order.service.clone(), order.read_in_era)),
-                    Err(err) => {
-                        log::info!("rollout of {}: cannot rewrite the result: {err}", order.service)
-                    }
-                }
+            } else if results.lack(&d, order)
+                && attempts.is_due(&order.service, now)
+                && let Err(err) = results.confirm(&d, order).await
+            {
+                log::info!("rollout of {}: cannot confirm the result: {err}", order.service);
             }
         }
     }
 }
 
+/// Advances the rollouts that this daemon is the decider of.
+async fn advance_owned(d: &Arc<Daemon>, orders: &[Order]) {
+    let owned: Vec<String> = lock(&d.rollouts.owned).keys().cloned().collect();
+    for service in owned {
+        let order = orders.iter().find(|order| order.service == service);
+        if let Err(err) = advance(d, &service, order).await {
+            log::warn!("rollout of {service}: no progress: {err}");
+            d.metrics.incr("platform.failed");
+        }
+    }
+}
+
+/// When this daemon last made calls to the store for a service's rollout that it does not own.
+#[derive(Default)]
+struct Attempts(HashMap<String, Instant>);
+
+impl Attempts {
+    /// Returns whether the last attempt was long enough ago, and notes the next one if it was.
+    fn is_due(&mut self, service: &str, now: Instant) -> bool {
+        let is_due = self.0.get(service).is_none_or(|at| now >= *at + ATTEMPT_INTERVAL);
+        if is_due {
+            self.0.insert(service.to_string(), now);
+        }
+        is_due
+    }
+}
+
 /// The store's eras that this daemon has seen.
 #[derive(Default)]
 struct Eras {
@@ -151,7 +153,7 @@
 /// store, does not own the rollout yet, and has received no stage that ends or supersedes
 /// the order.
 fn may_acquire(d: &Daemon, order: &Order) -> bool {
-    let has_ended = d.rollouts.stage(&order.service).is_some_and(|stage| {
+    let has_ended = d.rollouts.latest_stage(&order.service).is_some_and(|stage| {
         let has_ended = stage.order == order.revision && stage.phase.is_final();
         has_ended || stage.order.supersedes(order.revision)
     });
@@ -159,24 +161,6 @@
     !has_ended && !is_owned && d.follows_store.load(Ordering::Relaxed)
 }
 
-/// Returns whether the result of a rollout has to be written again: the store was restored
-/// from a copy since the order was first seen, and may lack the result.
-fn must_rewrite_result(d: &Daemon, order: &Order, result_eras: &HashMap<String, u64>) -> bool {
-    let is_restored = order.read_in_era > order.revision.era;
-    let is_written = result_eras.get(&order.service) == Some(&order.read_in_era);
-    is_restored && !is_written && d.follows_store.load(Ordering::Relaxed)
-}
-
-/// Writes the result of a rollout again, if the rollout has ended.
-async fn rewrite_result(d: &Daemon, order: &Order) -> Result<(), PlatformError> {
-    let stage = d.rollouts.stage(&order.service);
-    let ended = stage.filter(|stage| stage.order == order.revision && stage.phase.is_final());
-    match ended {
-        Some(stage) => write_status(d, order, status_of(&stage.phase)).await,
-        None => Ok(()),
-    }
-}
-
 /// Becomes the decider of an order if no daemon holds the decider key.
 async fn try_acquire(d: &Arc<Daemon>, order: &Order) -> Result<(), PlatformError> {
     let key = keys::decider(&order.service);
@@ -199,10 +183,7 @@
     }
     let pair = d.store.get(&keys::rollout(&order.service)).await?;
     let revision = pair.as_ref().map_or(Revision::ABSENT, |pair| pair.revision);
-    let stored = pair.and_then(|pair| {
-        let stored = rpc::decode::<StoredRollout>(&pair.value);
-        stored.inspect_err(|err| log::warn!("{}: cannot decode: {err}", pair.key)).ok()
-    });
+    let stored = pair.as_ref().and_then(StoredRollout::decode);
     let stored = stored.filter(|stored| stored.stage.order == order.revision);
     let (decider, began_ms) = create_decider(d, order, stored, now);
     let ended = decider.phase().filter(|phase| phase.is_final()).cloned();
@@ -273,11 +254,12 @@
 ) -> Result<(), PlatformError> {
     let now = d.clock.now();
     let is_current_era = has_lease_of_current_era(d, service);
-    let (own_order, lease, is_renewal_due) = {
+    let (own_order, lease, is_renewal_due, ended) = {
         let owned = lock(&d.rollouts.owned);
         let Some(rollout) = owned.get(service) else { return Ok(()) };
         let is_renewal_due = now >= rollout.renewed + RENEWAL_INTERVAL || !is_current_era;
-        (rollout.decider.order().clone(), rollout.lease, is_renewal_due)
+        let ended = rollout.decider.phase().filter(|phase| phase.is_final()).cloned();
+        (rollout.decider.order().clone(), rollout.lease, is_renewal_due, ended)
     };
     let is_replaced = order.is_some_and(|order| order.revision.supersedes(own_order.revision));
     // Runs also while the store is unavailable: once the decider finds that the new version
@@ -300,9 +282,11 @@
         // A later order replaces this one; its decider begins a new rollout.
         return release(d, service).await;
     }
-    match proposal {
-        Some(proposal) => write_proposal(d, service, &own_order, proposal).await,
-        None => Ok(()),
+    match (ended, proposal) {
+        // The status was not written after the last stage, for instance since it was refused.
+        (Some(phase), _) => finish(d, &own_order, &phase).await,
+        (None, Some(proposal)) => write_proposal(d, service, &own_order, proposal).await,
+        (None, None) => Ok(()),
     }
 }
 
@@ -445,38 +429,10 @@
 
 /// Writes the result of a rollout for the operator, then releases the rollout.
 async fn finish(d: &Arc<Daemon>, order: &Order, phase: &Phase) -> Result<(), PlatformError> {
-    write_status(d, order, status_of(phase)).await?;
+    write_status(d, order, state_of(phase)).await?;
     release(d, &order.service).await
 }
 
-fn status_of(phase: &Phase) -> RolloutState {
-    match phase {
-        Phase::Completed => RolloutState::Completed,
-        Phase::RolledBack => RolloutState::RolledBack,
-        Phase::Canary { .. } | Phase::Cutover => RolloutState::Running,
-    }
-}
-
-/// Writes the status of a rollout for the operator, unless the store holds it already.
-async fn write_status(d: &Daemon, order: &Order, state: RolloutState) -> Result<(), PlatformError> {
-    let Some(adapter) = &d.platform_adapter else { return Ok(()) };
-    let key = adapter.rollout_status_key(&order.service);
-    let status =
-        RolloutStatus { service: order.service.clone(), target: order.target.clone(), state };
-    let value = adapter.encode_rollout_status(&status);
-    let stored = d.store.get(&key).await?;
-    if stored.as_ref().is_some_and(|pair| pair.value == value && pair.revision > order.revision) {
-        return Ok(());
-    }
-    let revision = stored.map_or(Revision::ABSENT, |pair| pair.revision);
-    match d.store.compare_and_swap(&key, revision, &value, None).await? {
-        ConditionalWrite::Applied => Ok(()),
-        ConditionalWrite::Rejected => {
-            Err(PlatformError::NotApplied("the status was written meanwhile".to_string()))
-        }
-    }
-}
-
 /// Stops being the decider of a rollout, so that another daemon may become it.
 async fn release(d: &Daemon, service: &str) -> Result<(), PlatformError> {
     let rollout = lock(&d.rollouts.owned).remove(service);
--- a/src/daemon/rollouts/mod.rs
+++ b/src/daemon/rollouts/mod.rs
@@ -12,6 +12,8 @@
 pub mod decider;
 pub mod exit;
 pub mod report;
+pub mod result;
+pub mod stored;
 
 use super::{Daemon, lock};
 use crate::store::Pair;
@@ -73,6 +75,11 @@
             .map(|received| received.stage.clone())
     }
 
+    /// Returns the latest stage of a service's rollout, expired or not.
+    fn latest_stage(&self, service: &str) -> Option<Stage> {
+        lock(&self.stages).get(service).map(|received| received.stage.clone())
+    }
+
     /// Expires the stages of rollouts that were completed some time ago, so that upstreams
     /// of other versions are ordinary again; returns whether there were any.
     ///
