Hold no later version after a restart because of a completed rollout

What callers saw: some time after a rollout a release without an order starts a third version, and a daemon is started again. For ten seconds it and its upstream serve nothing: the daemon has just received the rollout's last stage from the records of followers, and holds all other versions although the rollout was completed long ago. Also, ten seconds after a completed rollout each follower began to take and release the decider key every 0.8 s for as long as the order stood (log of the test on the old code: 20 times in 19 s at one daemon).

Cause: whether a stage has expired was known to nobody but the daemon itself: followers announced expired stages like others, and `may_acquire` asked for a stage that has not expired.

`a_completed_rollout_holds_no_later_version_after_a_restart` failed before (daemon 0 does not list its instance within 10 s after one restart), and passes.

--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -442,9 +442,10 @@
     }
 }
 
-/// Copies all stages into this daemon's own membership record, which spreads them.
+/// Copies all stages in use into this daemon's own membership record, which spreads them. Expired
+/// ones are left out: a daemon that starts would hold other versions once more.
 pub fn publish(d: &Daemon) {
-    let stages = d.rollouts.stages();
+    let stages = d.rollouts.unexpired_stages();
     if d.members.own().rollouts != stages {
         d.members.update_own(d, |own| own.rollouts = stages);
     }
--- a/src/daemon/rollouts/mod.rs
+++ b/src/daemon/rollouts/mod.rs
@@ -100,6 +100,13 @@
         lock(&self.stages).values().map(|received| received.stage.clone()).collect()
     }
 
+    /// Returns all stages that have not expired.
+    fn unexpired_stages(&self) -> Vec<Stage> {
+        let stages = lock(&self.stages);
+        let unexpired = stages.values().filter(|received| !received.is_expired);
+        unexpired.map(|received| received.stage.clone()).collect()
+    }
+
     /// Stores a stage if it outranks the current stage of its service; returns whether it
     /// does.
     pub fn apply_stage(&self, stage: &Stage, now: Instant) -> bool {
