Hold a version that was rolled back after all daemons were killed

Cause: daemons remember a rollout's stage only as long as one of them runs. The stage stands in the store as well, but it was read only by a daemon about to become the decider, which used it to see that the rollout had ended and applied it nowhere. Without a stage every version is an ordinary one. The same happened to a rollout in its canary phase until somebody was the decider again, to one whose order was withdrawn after the roll-back, for which nobody reads the stage at all, and to the old version after a cutover, whose instances the operator stops at once.

Ruled out: the lease (no decider is needed to hold a version); the order (it is read by all followers after a start, in the logs).

A daemon reads all stages before it puts its first configuration from the store in force; as long as it cannot, it has no configuration and refuses calls as not run. It reads them once more, not stale, when it first follows the store, and then announces them. Who takes an order on applies the stage that it finds. A completed rollout counts as expired once its order's time and ten seconds are over, or its order is gone.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -441,6 +441,13 @@
             .is_some_and(|adapter| key.starts_with(adapter.order_prefix()))
     }
 
+    /// Returns the key in the store of an order to roll a service's version out, or `None` where
+    /// operators have no orders.
+    pub fn rollout_order_key(&self, service: &str) -> Option<String> {
+        let adapter = self.platform_adapter.as_ref()?;
+        Some(format!("{}{service}", adapter.order_prefix()))
+    }
+
     /// Decodes a configuration in the format of the users' platform.
     ///
     /// # Errors
--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -184,6 +184,11 @@
     let pair = d.store.get(&keys::rollout(&order.service)).await?;
     let revision = pair.as_ref().map_or(Revision::ABSENT, |pair| pair.revision);
     let stored = pair.as_ref().and_then(StoredRollout::decode);
+    if let Some(stored) = &stored {
+        // No other daemon may know the stage, see [`super::stored`].
+        d.rollouts.apply_stage(&stored.stage, now);
+        publish(d);
+    }
     let stored = stored.filter(|stored| stored.stage.order == order.revision);
     let (decider, began_ms) = create_decider(d, order, stored, now);
     let ended = decider.phase().filter(|phase| phase.is_final()).cloned();
--- a/src/daemon/rollouts/mod.rs
+++ b/src/daemon/rollouts/mod.rs
@@ -49,6 +49,8 @@
 #[derive(Default)]
 pub struct Rollouts {
     has_stages: AtomicBool,
+    /// Whether the stages in the store have been applied, see [`stored`].
+    is_restored: AtomicBool,
     /// Stages by service.
     stages: Mutex<BTreeMap<String, ReceivedStage>>,
     /// Orders in the store by service, while this daemon follows the store.
@@ -80,6 +82,15 @@
         lock(&self.stages).get(service).map(|received| received.stage.clone())
     }
 
+    /// Expires a stage, if it is still the latest one of its service.
+    fn expire_stage(&self, stage: &Stage) {
+        if let Some(received) = lock(&self.stages).get_mut(&stage.service)
+            && received.stage == *stage
+        {
+            received.is_expired = true;
+        }
+    }
+
     /// Expires the stages of rollouts that were completed some time ago, so that upstreams
     /// of other versions are ordinary again; returns whether there were any.
     ///
--- a/src/daemon/rollouts/stored.rs
+++ b/src/daemon/rollouts/stored.rs
@@ -1,9 +1,19 @@
 //! Rollouts as the store holds them.
+//!
+//! The decider writes each stage to the store before it sends it to other daemons, and other
+//! daemons only remember what they received. Where all daemons that remember a stage end
+//! together, the store alone knows which version gets no calls. So a daemon reads the stages
+//! before it puts its first configuration in force, and each time it begins to follow the
+//! store. docs/design/ROLLOUTS.md has the alternatives.
 
-use crate::store::Pair;
-use cicadashift_core::rollout::Stage;
+use super::{HOLD_AFTER_COMPLETION, decider};
+use crate::daemon::Daemon;
+use crate::store::{KeyValueStore, Pair, PlatformError, keys};
+use cicadashift_core::rollout::{Order, Phase, Stage};
 use cicadashift_wire::rpc;
 use serde::{Deserialize, Serialize};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// The state of a rollout in the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -24,3 +34,59 @@
         stored.inspect_err(|err| log::warn!("{}: cannot decode: {err}", pair.key)).ok()
     }
 }
+
+/// Applies the stages in the store, as a daemon that has not put a configuration in force yet.
+///
+/// The read may be stale, which costs the store less: any stage of a rollout holds upstreams of
+/// an unproven version.
+pub async fn restore_at_start(d: &Daemon) -> Result<(), PlatformError> {
+    if d.platform_adapter.is_none() {
+        return Ok(());
+    }
+    let pairs = d.store.list_allow_stale(keys::ROLLOUTS).await?;
+    apply(d, &pairs).await?;
+    d.services.sync(d);
+    Ok(())
+}
+
+/// Applies the stages in the store and publishes them, since no other daemon may know them. Does
+/// so once: from then on stages reach a follower by orders and from other daemons.
+pub async fn restore_as_follower(d: &Daemon) -> Result<(), PlatformError> {
+    if d.platform_adapter.is_none() || d.rollouts.is_restored.load(Ordering::Relaxed) {
+        return Ok(());
+    }
+    let pairs = d.store.list(keys::ROLLOUTS, false).await?;
+    apply(d, &pairs).await?;
+    d.rollouts.is_restored.store(true, Ordering::Relaxed);
+    decider::publish(d);
+    d.services.sync(d);
+    Ok(())
+}
+
+async fn apply(d: &Daemon, pairs: &[Pair]) -> Result<(), PlatformError> {
+    for stored in pairs.iter().filter_map(StoredRollout::decode) {
+        d.rollouts.apply_stage(&stored.stage, d.clock.now());
+        if stored.stage.phase == Phase::Completed && is_past(d, &stored).await? {
+            d.rollouts.expire_stage(&stored.stage);
+        }
+    }
+    Ok(())
+}
+
+/// Returns whether a completed rollout holds other versions no more. The store has no time of
+/// its end, which is at most the order's duration after its beginning.
+///
+/// Failure: long after a rollout a release without an order starts a third version, and
+/// daemons restart. Symptom: its upstreams get no calls, although there are no others.
+async fn is_past(d: &Daemon, stored: &StoredRollout) -> Result<bool, PlatformError> {
+    let Some(order) = read_order(d, &stored.stage.service).await? else { return Ok(true) };
+    let age = Duration::from_millis(d.clock.wall_ms().saturating_sub(stored.began_ms));
+    let is_same = order.revision == stored.stage.order;
+    Ok(!is_same || age >= order.duration + HOLD_AFTER_COMPLETION)
+}
+
+async fn read_order(d: &Daemon, service: &str) -> Result<Option<Order>, PlatformError> {
+    let Some(key) = d.rollout_order_key(service) else { return Ok(None) };
+    let pair = d.store.get(&key).await?;
+    Ok(pair.and_then(|pair| d.rollouts.decode(d, &pair)))
+}
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -10,6 +10,7 @@
 
 use super::members::followers_of;
 use super::peers::MeshError;
+use super::rollouts::stored;
 use super::versions::RunningConfig;
 use super::{Daemon, datagrams, peers};
 use crate::store::{Change, ClientWatch, KeyValueStore, Pair, PlatformError, Revision, Watch};
@@ -165,12 +166,17 @@
     }
 }
 
-/// Reads the key once, unless a member delivers a version or a heartbeat first.
+/// Reads the stages of rollouts and the key once, unless a member delivers a version or a
+/// heartbeat first.
 async fn first_read(d: &Daemon) {
     let mut pause = RETRY_PAUSE.0;
     let document = &d.versions.document;
     while document.version() == 0 && !document.has_live_follower(d.clock.now()) {
-        match read_key(d, d.config_key()).await {
+        let first_read = async {
+            stored::restore_at_start(d).await?;
+            read_key(d, d.config_key()).await
+        };
+        match first_read.await {
             Ok(_) => return document.note_first_read(d.clock.now()),
             Err(err) => log::debug!("the first read of the configuration failed: {err}"),
         }
@@ -447,9 +453,11 @@
     Ok(())
 }
 
-/// Starts a watch: after the revision in force if the store is still in the era of that
+/// Reads the stages of rollouts and starts a watch: after the revision in force if the store is still in the era of that
 /// revision, otherwise after reading all keys.
 async fn start_watch(d: &Daemon, key: &str) -> Result<ClientWatch, PlatformError> {
+    // Orders and the configuration are applied under the stages.
+    stored::restore_as_follower(d).await?;
     let installed = d.versions.document.revision();
     let is_current_era = d.store.era().is_none_or(|era| era == installed.era);
     if !installed.is_absent() && is_current_era {
