Roll a rollout back whose order was withdrawn and whose decider is gone

What the operator saw: an order is withdrawn while no daemon runs that could end its rollout. The status stays `running`, and since stages outlive a restart now, the new version would be held for ever.

Cause: only orders are taken on; a stage without an order has no owner. A follower that knows the stage of a rollout that has not ended, finds no order of its service in the store, and gets the decider key, rolls it back as the decider would have. An order that is missing in an earlier era's copy may be written again, so that such a rollout is left alone.

`a_rollout_whose_order_and_decider_are_gone_is_rolled_back` failed before (`running` after 5 s) and passes.

--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -63,6 +63,17 @@
 }
 
 impl Order {
+    /// Returns the order of a rollout whose operator has withdrawn it: no time is left.
+    pub fn withdrawn(stage: &Stage) -> Order {
+        Order {
+            service: stage.service.clone(),
+            target: stage.target.clone(),
+            revision: stage.order,
+            read_in_era: stage.order.era,
+            duration: Duration::ZERO,
+        }
+    }
+
     /// Returns the order with the position of the order behind `stage`, if that one has the
     /// same target and is of an earlier era.
     ///
--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -58,7 +58,8 @@
         Timer::after(ROUND_INTERVAL).await;
         eras.update(d.store.era(), d.clock.now());
         let orders: Vec<Order> = lock(&d.rollouts.orders).values().cloned().collect();
-        if orders.is_empty() && lock(&d.rollouts.owned).is_empty() {
+        let withdrawn = d.rollouts.withdrawn_stages();
+        if orders.is_empty() && withdrawn.is_empty() && lock(&d.rollouts.owned).is_empty() {
             continue;
         }
         advance_owned(&d, &orders).await;
@@ -81,6 +82,14 @@
                 log::info!("rollout of {}: cannot confirm the result: {err}", order.service);
             }
         }
+        for order in withdrawn.iter().map(Order::withdrawn) {
+            if may_end_withdrawn(&d, &order)
+                && attempts.is_due(&order.service, d.clock.now())
+                && let Err(err) = end_withdrawn(&d, &order).await
+            {
+                log::info!("rollout of {}: cannot end it: {err}", order.service);
+            }
+        }
     }
 }
 
@@ -212,6 +221,27 @@
     }
 }
 
+/// Returns whether this daemon may try to end a rollout whose order was withdrawn. An order that
+/// is missing because the store was restored from a copy may be written again.
+fn may_end_withdrawn(d: &Daemon, order: &Order) -> bool {
+    let is_current_era = d.store.era().is_none_or(|era| era == order.revision.era);
+    is_current_era && may_acquire(d, order)
+}
+
+/// Becomes the decider of a rollout whose order was withdrawn, if no daemon holds the decider
+/// key; the next round rolls it back.
+///
+/// Failure: an order is withdrawn, and its decider ends before it has written that. Symptom: the
+/// rollout stays in its phase, and its upstreams are held for ever.
+async fn end_withdrawn(d: &Arc<Daemon>, order: &Order) -> Result<(), PlatformError> {
+    let Some(key) = d.rollout_order_key(&order.service) else { return Ok(()) };
+    // A stage may arrive before the watch reports its order.
+    if d.store.get(&key).await?.is_some() {
+        return Ok(());
+    }
+    try_acquire(d, order).await
+}
+
 /// Creates the decider of an order, which continues from the stored state or from a later
 /// stage that this daemon has received; also returns when the order was first seen, in Unix
 /// milliseconds.
--- a/src/daemon/rollouts/mod.rs
+++ b/src/daemon/rollouts/mod.rs
@@ -118,6 +118,15 @@
         unexpired.map(|received| received.stage.clone()).collect()
     }
 
+    /// Returns the stages of rollouts that have not ended and whose order was withdrawn, by the
+    /// orders that this daemon knows.
+    fn withdrawn_stages(&self) -> Vec<Stage> {
+        let orders = lock(&self.orders);
+        let is_withdrawn =
+            |stage: &Stage| !stage.phase.is_final() && !orders.contains_key(&stage.service);
+        self.stages().into_iter().filter(is_withdrawn).collect()
+    }
+
     /// Stores a stage if it outranks the current stage of its service; returns whether it
     /// does.
     pub fn apply_stage(&self, stage: &Stage, now: Instant) -> bool {
--- a/tests/rollout_restarts.rs
+++ b/tests/rollout_restarts.rs
@@ -198,6 +198,23 @@
     });
 }
 
+#[test]
+fn a_rollout_whose_order_and_decider_are_gone_is_rolled_back() {
+    // Guards against upstreams that are held for ever: the order is withdrawn while no daemon
+    // runs that could end its rollout.
+    run(async {
+        let mut fleet = start_two_versions(DAEMONS).await;
+        order(&fleet, "v2");
+        wait_until_running(&fleet).await;
+        smol::Timer::after(Duration::from_secs(1)).await;
+        restart_all(&mut fleet, |fleet| fleet.store.delete_prefix(ORDER));
+        let back = wait_for_state(&fleet, "rolled_back", RESULT_TIMEOUT).await;
+        assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+        let (new, old) = runs_under_load(&fleet).await;
+        assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(&fleet));
+    });
+}
+
 /// Starts a fleet in which a bad version was rolled back, and the store refused the result.
 async fn start_without_result() -> HostedFleet {
     let fleet = start_two_versions(DAEMONS).await;
