Write the last stage of a rollout again after a restore of the store

Cause: daemons kept the end of a rollout in memory and wrote the result again in each new era, but not the stage, which is what a daemon reads after a restart.

The follower that confirms a result in a new era writes the stage first, if the one in the store is older.

--- a/src/daemon/rollouts/result.rs
+++ b/src/daemon/rollouts/result.rs
@@ -3,6 +3,7 @@
 //! The decider writes it, after the last stage. Where the decider ends before that, or the
 //! store was restored from a copy that lacks the result, a follower writes it.
 
+use super::stored;
 use crate::daemon::{Daemon, lock};
 use crate::store::{ConditionalWrite, KeyValueStore, PlatformError, Revision, keys};
 use cicadashift_core::rollout::{Order, Phase};
@@ -28,6 +29,9 @@
     /// daemon holds the decider key.
     pub async fn confirm(&mut self, d: &Daemon, order: &Order) -> Result<(), PlatformError> {
         let Some(state) = result_of(d, order) else { return Ok(()) };
+        if order.read_in_era > order.revision.era {
+            stored::rewrite(d, &order.service).await?;
+        }
         if let Some(write) = missing_status(d, order, state).await? {
             if d.store.get(&keys::decider(&order.service)).await?.is_some() {
                 return Ok(());
--- a/src/daemon/rollouts/stored.rs
+++ b/src/daemon/rollouts/stored.rs
@@ -8,7 +8,7 @@
 
 use super::{HOLD_AFTER_COMPLETION, decider};
 use crate::daemon::Daemon;
-use crate::store::{KeyValueStore, Pair, PlatformError, keys};
+use crate::store::{ConditionalWrite, KeyValueStore, Pair, PlatformError, Revision, keys};
 use cicadashift_core::rollout::{Order, Phase, Stage};
 use cicadashift_wire::rpc;
 use serde::{Deserialize, Serialize};
@@ -90,3 +90,28 @@
     let pair = d.store.get(&key).await?;
     Ok(pair.and_then(|pair| d.rollouts.decode(d, &pair)))
 }
+
+/// Writes the last stage of a service's rollout again, if the store was restored from a copy
+/// that lacks it.
+///
+/// Failure: the store is restored, and later all daemons are killed. Symptom: a version that was
+/// rolled back is in trial again, or an ordinary one.
+pub async fn rewrite(d: &Daemon, service: &str) -> Result<(), PlatformError> {
+    let Some(stage) = d.rollouts.latest_stage(service) else { return Ok(()) };
+    let key = keys::rollout(service);
+    let pair = d.store.get(&key).await?;
+    let stored = pair.as_ref().and_then(StoredRollout::decode);
+    if stored.is_some_and(|stored| !stage.outranks(&stored.stage)) {
+        return Ok(());
+    }
+    let revision = pair.map_or(Revision::ABSENT, |pair| pair.revision);
+    log::info!("rollout of {service}: writes the stage again, the store was restored");
+    // The beginning and the counts matter for a rollout that goes on.
+    let stored = StoredRollout { stage, began_ms: 0, seen: 0, granted: 0 };
+    match d.store.compare_and_swap(&key, revision, &rpc::encode(&stored), None).await? {
+        ConditionalWrite::Applied => Ok(()),
+        ConditionalWrite::Rejected => {
+            Err(PlatformError::NotApplied("the stage was written meanwhile".to_string()))
+        }
+    }
+}
--- a/tests/rollout_restarts.rs
+++ b/tests/rollout_restarts.rs
@@ -162,6 +162,31 @@
     });
 }
 
+#[test]
+fn a_rolled_back_version_stays_out_of_use_after_a_restore_of_the_store() {
+    // Guards against the same where the store was restored, before the daemons were killed, from
+    // a copy that is older than the order, so that the rollout would begin anew.
+    run(async {
+        let mut fleet = start_two_versions(DAEMONS).await;
+        let copy = fleet.store.copy();
+        order(&fleet, "v2");
+        wait_until_running(&fleet).await;
+        smol::Timer::after(Duration::from_secs(1)).await;
+        set_answers_of_new_version(&fleet, AnswerMode::Failing);
+        let load = Load::start(&fleet, 12);
+        let back = wait_for_state(&fleet, "rolled_back", MAX_ROLLBACK_TIME).await;
+        assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+        load.end().await;
+        fleet.store.restore(copy);
+        order(&fleet, "v2");
+        let back = wait_for_state(&fleet, "rolled_back", RESULT_TIMEOUT).await;
+        assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+        restart_all(&mut fleet, |_| {});
+        let (new, old) = runs_under_load(&fleet).await;
+        assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(&fleet));
+    });
+}
+
 #[test]
 fn old_upstreams_stay_out_of_use_when_all_daemons_are_killed_after_a_cutover() {
     // Guards against requests lost at instances of the old version, which their operator stops
