Test answers that end in the middle of their head

Operators of other systems report clients that got a 200 with an empty or short body, framed as whole, where an instance stopped in the middle of its answer's head and closed.

The client of crates/http, which all connections use (to upstreams, between daemons, health requests, the store), gets answers cut after each byte of the head, and of a body whose length is stated or chunked; then closed, reset or half-closed; as the first and the second answer of a connection, and behind an interim answer: an error each time. Requests sent ahead behind a cut answer get their own.

What cannot be told: an answer whose length nothing states ends with its connection, and a short one is passed on as whole where the connection was closed; the platform's rules say so ("may have no length and end with its connection; one that is reset on the way isn't complete"). A reset is an error.

The code that puts an upstream in an instance's place moves from tests/endless.rs to the stand-in fleet, unchanged.

--- a/crates/testkit/src/hosted/endless.rs
+++ b/crates/testkit/src/hosted/endless.rs
@@ -84,13 +84,15 @@
     }
 }
 
-struct RequestHead {
-    path: String,
-    id: String,
+/// What an upstream reads of a request's head.
+pub(super) struct RequestHead {
+    pub path: String,
+    pub id: String,
     length: usize,
 }
 
-fn read_head(reader: &mut BufReader<TcpStream>) -> Option<RequestHead> {
+/// Reads one request; returns `None` at the end of the connection.
+pub(super) fn read_head(reader: &mut BufReader<TcpStream>) -> Option<RequestHead> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
     let path = line.split(' ').nth(1)?.to_string();
--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -188,6 +188,34 @@
         self.store.put(CONFIG_KEY, config(version, prefixes).to_string().as_bytes());
     }
 
+    /// Replaces the instance beside a daemon by an upstream at another address, and waits until
+    /// the daemon has it in use alone.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the daemon does not accept that.
+    pub async fn replace_upstream(&self, i: usize, id: &str, addr: SocketAddr, slots: usize) {
+        assert!(self.daemons[i].instance.drain().await);
+        let others = self.daemons.len() - 1;
+        let is_drained = async |fleet: &HostedFleet| fleet.sees_instances(i, others).await;
+        assert!(self.wait(is_drained).await, "{}", self.log(i));
+        let report = json!({
+            "Address": addr,
+            "Info": {"Service": "notice", "Version": "v1", "Zone": "a", "Slots": slots},
+            "Status": {"State": "ready", "Seq": 1, "ColdMs": 0},
+            "born": 1,
+        });
+        let req = Request::put(format!("/cicadashift/instances/{id}"))
+            .header("host", "control")
+            .body(body::full(report.to_string()))
+            .expect("a valid request");
+        let control = self.daemons[i].control;
+        let res = self.pool.exchange(control, req, MAX_ANSWER_BYTES, REQUEST_TIMEOUT).await;
+        assert!(res.is_ok_and(|res| res.status().is_success()), "{}", self.log(i));
+        let is_announced = async |fleet: &HostedFleet| fleet.sees_instances(i, others + 1).await;
+        assert!(self.wait(is_announced).await, "{}", self.log(i));
+    }
+
     /// Starts a daemon that is not running.
     ///
     /// # Panics
--- a/crates/testkit/src/hosted/mod.rs
+++ b/crates/testkit/src/hosted/mod.rs
@@ -1,6 +1,7 @@
 //! Simulation of the users' platform: its metadata store, its instances, and daemons
 //! with the settings that the platform would generate.
 
+pub mod cut;
 pub mod endless;
 pub mod fleet;
 pub mod front;
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -3,14 +3,11 @@
 
 mod common;
 
-use cicadashift_http::body;
-use cicadashift_http::client::Pool;
 use cicadashift_http::exec;
-use cicadashift_http::hyper::{Method, Request};
+use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::endless::{Endless, EndlessUpstream};
 use cicadashift_testkit::hosted::fleet::HostedFleet;
 use common::run;
-use serde_json::json;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -33,30 +30,12 @@
     Endless::Surplus,
 ];
 const ID: &str = "i-endless";
-const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Returns a daemon whose only upstream in use sends bytes without end.
 async fn serving_endless(mode: Endless) -> (HostedFleet, EndlessUpstream) {
     let fleet = HostedFleet::serving(Path::new(env!("CARGO_BIN_EXE_cicadashift")), 1).await;
-    assert!(fleet.daemons[0].instance.drain().await);
-    let is_drained = async |fleet: &HostedFleet| fleet.sees_instances(0, 0).await;
-    assert!(fleet.wait(is_drained).await, "{}", fleet.log(0));
     let upstream = EndlessUpstream::start(ID, mode);
-    let report = json!({
-        "Address": upstream.addr,
-        "Info": {"Service": "notice", "Version": "v1", "Zone": "a", "Slots": CALLS},
-        "Status": {"State": "ready", "Seq": 1, "ColdMs": 0},
-        "born": 1,
-    });
-    let req = Request::put(format!("/cicadashift/instances/{ID}"))
-        .header("host", "control")
-        .body(body::full(report.to_string()))
-        .expect("a valid request");
-    let control = fleet.daemons[0].control;
-    let res = Pool::new(1).exchange(control, req, 4096, REPORT_TIMEOUT).await;
-    assert!(res.is_ok_and(|res| res.status().is_success()), "{}", fleet.log(0));
-    let is_announced = async |fleet: &HostedFleet| fleet.sees_instances(0, 1).await;
-    assert!(fleet.wait(is_announced).await, "{}", fleet.log(0));
+    fleet.replace_upstream(0, ID, upstream.addr, CALLS).await;
     (fleet, upstream)
 }
 
