Announce expired stages again, and take a first completion for an old one

The records of daemons that followed the store when the rollout began still have its canary stage, so that a daemon that starts during an outage of the store believed that one and held the new version, the only one by then: it listed no upstream and refused its callers until the store came back.

A daemon that learns of a rollout by its completion takes it for expired: it has just started or was cut off.

--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -477,10 +477,10 @@
     }
 }
 
-/// Copies all stages in use into this daemon's own membership record, which spreads them. Expired
-/// ones are left out: a daemon that starts would hold other versions once more.
+/// Copies all stages into this daemon's own membership record, which spreads them. Expired ones are
+/// among them, since other records may have earlier stages of the same rollout.
 pub fn publish(d: &Daemon) {
-    let stages = d.rollouts.unexpired_stages();
+    let stages = d.rollouts.stages();
     if d.members.own().rollouts != stages {
         d.members.update_own(d, |own| own.rollouts = stages);
     }
--- a/src/daemon/rollouts/mod.rs
+++ b/src/daemon/rollouts/mod.rs
@@ -82,12 +82,15 @@
         lock(&self.stages).get(service).map(|received| received.stage.clone())
     }
 
-    /// Expires a stage, if it is still the latest one of its service.
-    fn expire_stage(&self, stage: &Stage) {
+    /// Stores a stage that was read from the store; `is_past` is whether it was reached so long
+    /// ago that it has expired.
+    fn restore_stage(&self, stage: &Stage, is_past: bool, now: Instant) {
+        self.apply_stage(stage, now);
         if let Some(received) = lock(&self.stages).get_mut(&stage.service)
             && received.stage == *stage
+            && stage.phase == Phase::Completed
         {
-            received.is_expired = true;
+            received.is_expired = is_past || now >= received.since + HOLD_AFTER_COMPLETION;
         }
     }
 
@@ -111,13 +114,6 @@
         lock(&self.stages).values().map(|received| received.stage.clone()).collect()
     }
 
-    /// Returns all stages that have not expired.
-    fn unexpired_stages(&self) -> Vec<Stage> {
-        let stages = lock(&self.stages);
-        let unexpired = stages.values().filter(|received| !received.is_expired);
-        unexpired.map(|received| received.stage.clone()).collect()
-    }
-
     /// Returns the stages of rollouts that have not ended and whose order was withdrawn, by the
     /// orders that this daemon knows.
     fn withdrawn_stages(&self) -> Vec<Stage> {
@@ -128,7 +124,12 @@
     }
 
     /// Stores a stage if it outranks the current stage of its service; returns whether it
-    /// does.
+    /// does. A daemon that learns of a rollout by its completion has just started or was cut off,
+    /// and cannot know how long ago that was: the stage counts as expired.
+    ///
+    /// Failure: long after a rollout a release without an order starts a third version, and a
+    /// daemon restarts. Symptom: it holds that version for the time after a completion, and its
+    /// callers get no answers.
     pub fn apply_stage(&self, stage: &Stage, now: Instant) -> bool {
         let mut stages = lock(&self.stages);
         let current = stages.get(&stage.service);
@@ -146,10 +147,10 @@
             }
             _ => now,
         };
-        stages.insert(
-            service.clone(),
-            ReceivedStage { stage: stage.clone(), since, is_expired: false },
-        );
+        let is_same_order = current.is_some_and(|current| current.stage.order == stage.order);
+        let is_expired = stage.phase == Phase::Completed && !is_same_order;
+        let received = ReceivedStage { stage: stage.clone(), since, is_expired };
+        stages.insert(service.clone(), received);
         self.has_stages.store(true, Ordering::Relaxed);
         true
     }
--- a/src/daemon/rollouts/stored.rs
+++ b/src/daemon/rollouts/stored.rs
@@ -65,19 +65,14 @@
 
 async fn apply(d: &Daemon, pairs: &[Pair]) -> Result<(), PlatformError> {
     for stored in pairs.iter().filter_map(StoredRollout::decode) {
-        d.rollouts.apply_stage(&stored.stage, d.clock.now());
-        if stored.stage.phase == Phase::Completed && is_past(d, &stored).await? {
-            d.rollouts.expire_stage(&stored.stage);
-        }
+        let is_past = stored.stage.phase == Phase::Completed && is_past(d, &stored).await?;
+        d.rollouts.restore_stage(&stored.stage, is_past, d.clock.now());
     }
     Ok(())
 }
 
 /// Returns whether a completed rollout holds other versions no more. The store has no time of
 /// its end, which is at most the order's duration after its beginning.
-///
-/// Failure: long after a rollout a release without an order starts a third version, and
-/// daemons restart. Symptom: its upstreams get no calls, although there are no others.
 async fn is_past(d: &Daemon, stored: &StoredRollout) -> Result<bool, PlatformError> {
     let Some(order) = read_order(d, &stored.stage.service).await? else { return Ok(true) };
     let age = Duration::from_millis(d.clock.wall_ms().saturating_sub(stored.began_ms));
--- a/tests/rollout_restarts.rs
+++ b/tests/rollout_restarts.rs
@@ -281,22 +281,28 @@
     });
 }
 
+/// Starts a fleet in which a rollout was completed long ago, and all upstreams are of a version.
+async fn start_completed(daemons: usize, version: &str) -> HostedFleet {
+    let fleet = start_two_versions(daemons).await;
+    let load = Load::start(&fleet, 6);
+    order(&fleet, "v2");
+    let completed = wait_for_state(&fleet, "completed", DURATION).await;
+    assert!(completed.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+    load.end().await;
+    smol::Timer::after(DURATION + HOLD_TIME).await;
+    for daemon in &fleet.daemons {
+        daemon.instance.set_version(version);
+        assert!(daemon.instance.send_heartbeat().await);
+    }
+    fleet
+}
+
 #[test]
 fn a_completed_rollout_holds_no_later_version_after_a_restart() {
     // Guards against upstreams of a third version, released long after a rollout, that a daemon
     // holds since it has just received the rollout's last stage. Callers get no answers.
     run(async {
-        let mut fleet = start_two_versions(DAEMONS).await;
-        let load = Load::start(&fleet, 6);
-        order(&fleet, "v2");
-        let completed = wait_for_state(&fleet, "completed", DURATION).await;
-        assert!(completed.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
-        load.end().await;
-        smol::Timer::after(DURATION + HOLD_TIME).await;
-        for daemon in &fleet.daemons {
-            daemon.instance.set_version("v3");
-            assert!(daemon.instance.send_heartbeat().await);
-        }
+        let mut fleet = start_completed(DAEMONS, "v3").await;
         fleet.kill(0);
         fleet.restart(0);
         assert_served(&fleet, "after a restart").await;
@@ -305,16 +311,36 @@
     });
 }
 
+#[test]
+fn a_daemon_that_starts_without_the_store_learns_that_a_rollout_was_completed() {
+    // Guards against an older stage in the records of daemons that followed the store when the
+    // rollout began: a daemon that starts during an outage would hold the new version, which is
+    // the only one by then.
+    run(async {
+        let mut fleet = start_completed(LARGE_MESH, "v2").await;
+        let followers = fleet.followers().await;
+        let others: Vec<usize> = (0..LARGE_MESH).filter(|i| !followers.contains(i)).collect();
+        assert!(!others.is_empty(), "all daemons follow the store");
+        fleet.store.change_faults(|faults| faults.down = Some(Outage::Busy));
+        others.iter().take(3).for_each(|i| {
+            fleet.kill(*i);
+            fleet.restart(*i);
+        });
+        assert_served(&fleet, "after a restart").await;
+    });
+}
+
 /// Checks that every daemon is ready soon, and then answers calls from upstreams on all hosts.
 async fn assert_served(fleet: &HostedFleet, when: &str) {
-    for i in 0..DAEMONS {
+    let daemons = fleet.daemons.len();
+    for i in 0..daemons {
         let is_ready = async |fleet: &HostedFleet| {
-            fleet.is_ready(i).await && fleet.sees_instances(i, DAEMONS).await
+            fleet.is_ready(i).await && fleet.sees_instances(i, daemons).await
         };
         assert!(fleet.wait(is_ready).await, "daemon {i} {when}: {}", logs(fleet));
     }
     smol::Timer::after(Duration::from_secs(1)).await;
-    for i in 0..DAEMONS {
+    for i in 0..daemons {
         for n in 0..4 {
             let id = format!("{i}-{n}-{:08x}", fastrand::u32(..));
             let status = fleet.status(i, "/notices/later", &id).await;
