--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -17,6 +17,8 @@
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time for which callers go on sending after that.
 const CHECKED_TIME: Duration = Duration::from_secs(3);
+/// Time in which heartbeats arrive late, also beyond ten seconds after a start.
+const LONG_CHECKED_TIME: Duration = Duration::from_secs(17);
 /// Time within which a report must be acknowledged.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time within which an instance that neither reports nor is healthy must be out of use: the
@@ -185,6 +187,47 @@
     });
 }
 
+/// Kills all daemons after an acknowledged leaving, starts them one after the other, and delivers
+/// a late heartbeat each half second, each with a higher sequence number. Checks that the instance,
+/// whose health says no, gets no late request.
+async fn check_staggered_starts(order: [usize; 4]) {
+    let mut fleet = serving(4).await;
+    let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+    let left = leave(&instance, Leaving::Withdrawn).await;
+    instance.deny_health(true);
+    (0..4).for_each(|i| fleet.kill(i));
+    let callers = start_callers(&fleet, &order, Instant::now() + LONG_CHECKED_TIME);
+    let mut sequence = LATE_SEQUENCE;
+    let mut starts = order.iter();
+    while left.elapsed() < LONG_CHECKED_TIME {
+        if let Some(i) = starts.next() {
+            fleet.restart(*i);
+        }
+        for _ in 0..2 {
+            let _daemon_may_be_starting =
+                instance.send_heartbeat_as(&instance.id(), sequence, false).await;
+            sequence += 1;
+            smol::Timer::after(Duration::from_millis(500)).await;
+        }
+    }
+    let (late, sent) = arrived_late(callers, &instance, left + DRAIN_TIME).await;
+    assert_eq!(late, 0, "{order:?} of {sent}; {}", events(&fleet, 0));
+}
+
+#[test]
+fn late_heartbeats_bring_no_instance_back_whenever_they_arrive() {
+    // Guards against a daemon that believes heartbeats which arrive before the first health answer
+    // or more than ten seconds after its start, although the health denies them.
+    run(check_staggered_starts([0, 1, 2, 3]));
+}
+
+#[test]
+fn late_heartbeats_bring_no_instance_back_whichever_daemon_starts_first() {
+    // Guards against the same where the daemon beside the instance starts last, and may take the
+    // word of those that started just before it.
+    run(check_staggered_starts([3, 2, 1, 0]));
+}
+
 #[test]
 fn a_leaving_outlives_the_failure_domain_that_acknowledged_it() {
     // Guards against a daemon that starts beside another one that has just started, takes its
