Have the soak keep a rolled back version out of use

The soak had no rollouts. A second one rolls a bad version back, has its answers good from then on, and kills daemons in series, one, a failure domain or all, also during outages of the store, freezes them and withdraws the order, while callers go on sending over their connections. No request may reach the version.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod common;
 mod downloads;
 mod leavings;
+mod rollbacks;
 
 use cicadashift_http::exec;
 use cicadashift_http::hyper::Method;
@@ -184,15 +185,33 @@
     // non-idempotent request may run twice or after a refusal, no caller may get the answer
     // to another request, and all daemons must serve again after the last fault. One caller
     // repeats a request that crashes instances: undisturbed daemons must stop forwarding it.
-    let seeds = std::env::var("SOAK_SEEDS").ok().and_then(|text| parse(&text));
-    let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok());
     let regressions = REGRESSIONS.iter().map(|(seed, _)| *seed);
-    let seeds: Vec<u64> = seeds.unwrap_or(CI_SEEDS).chain(regressions).collect();
-    for seed in seeds {
-        run(soak(seed, Duration::from_secs(seconds.unwrap_or(CI_SECONDS))));
+    for seed in seeds().chain(regressions) {
+        run(soak(seed, duration()));
+    }
+}
+
+#[test]
+fn a_version_that_was_rolled_back_stays_out_of_use_under_random_faults() {
+    // Daemons are killed and frozen, one, a failure domain or all, also while the store fails;
+    // the order is withdrawn. No request may reach the version, and all daemons must be ready
+    // after the last fault.
+    for seed in seeds() {
+        run(rollbacks::soak(seed, duration()));
     }
 }
 
+/// Returns the seeds to run.
+fn seeds() -> std::ops::Range<u64> {
+    std::env::var("SOAK_SEEDS").ok().and_then(|text| parse(&text)).unwrap_or(CI_SEEDS)
+}
+
+/// Returns the duration of the faults for each seed.
+fn duration() -> Duration {
+    let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok());
+    Duration::from_secs(seconds.unwrap_or(CI_SECONDS))
+}
+
 fn parse(text: &str) -> Option<std::ops::Range<u64>> {
     let (first, end) = text.split_once("..")?;
     Some(first.parse().ok()?..end.parse().ok()?)
