Share the check of tests that keep a version out of use

Seven tests of tests/rollout_restarts.rs repeated the same load and the same two conditions. The checks are unchanged: the version that stayed is called, the other one is not.

--- a/tests/rollout_restarts.rs
+++ b/tests/rollout_restarts.rs
@@ -48,6 +48,12 @@
     (runs(fleet, true) - new, runs(fleet, false) - old)
 }
 
+/// Checks that callers are answered, and none by the new version.
+async fn assert_new_version_is_out_of_use(fleet: &HostedFleet) {
+    let (new, old) = runs_under_load(fleet).await;
+    assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(fleet));
+}
+
 /// Starts a fleet in which a bad version has been rolled back.
 async fn start_rolled_back() -> HostedFleet {
     start_rolled_back_of(DAEMONS).await
@@ -73,9 +79,7 @@
     run(async {
         let mut fleet = start_rolled_back().await;
         restart_all(&mut fleet, |_| {});
-        let (new, old) = runs_under_load(&fleet).await;
-        assert!(old > 0, "{}", logs(&fleet));
-        assert_eq!(new, 0, "beside {old} {}", logs(&fleet));
+        assert_new_version_is_out_of_use(&fleet).await;
     });
 }
 
@@ -86,9 +90,7 @@
     run(async {
         let mut fleet = start_rolled_back().await;
         restart_all(&mut fleet, |fleet| fleet.store.delete_prefix(ORDER));
-        let (new, old) = runs_under_load(&fleet).await;
-        assert!(old > 0, "{}", logs(&fleet));
-        assert_eq!(new, 0, "beside {old} {}", logs(&fleet));
+        assert_new_version_is_out_of_use(&fleet).await;
     });
 }
 
@@ -101,8 +103,7 @@
         restart_all(&mut fleet, |_| {});
         smol::Timer::after(Duration::from_millis(300)).await;
         restart_all(&mut fleet, |_| {});
-        let (new, old) = runs_under_load(&fleet).await;
-        assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(&fleet));
+        assert_new_version_is_out_of_use(&fleet).await;
     });
 }
 
@@ -136,8 +137,7 @@
         (0..DAEMONS - 1).for_each(|i| fleet.restart(i));
         smol::Timer::after(Duration::from_secs(2)).await;
         fleet.restart(DAEMONS - 1);
-        let (new, old) = runs_under_load(&fleet).await;
-        assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(&fleet));
+        assert_new_version_is_out_of_use(&fleet).await;
     });
 }
 
@@ -153,8 +153,7 @@
         assert!(followers.len() < LARGE_MESH, "all daemons follow the store");
         followers.iter().for_each(|i| fleet.kill(*i));
         followers.iter().for_each(|i| fleet.restart(*i));
-        let (new, old) = runs_under_load(&fleet).await;
-        assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(&fleet));
+        assert_new_version_is_out_of_use(&fleet).await;
         for i in followers {
             let is_ready = async |fleet: &HostedFleet| fleet.is_ready(i).await;
             assert!(fleet.wait(is_ready).await, "daemon {i}: {}", logs(&fleet));
@@ -182,8 +181,7 @@
         let back = wait_for_state(&fleet, "rolled_back", RESULT_TIMEOUT).await;
         assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
         restart_all(&mut fleet, |_| {});
-        let (new, old) = runs_under_load(&fleet).await;
-        assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(&fleet));
+        assert_new_version_is_out_of_use(&fleet).await;
     });
 }
 
@@ -235,8 +233,7 @@
         restart_all(&mut fleet, |fleet| fleet.store.delete_prefix(ORDER));
         let back = wait_for_state(&fleet, "rolled_back", RESULT_TIMEOUT).await;
         assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
-        let (new, old) = runs_under_load(&fleet).await;
-        assert!(old > 0 && new == 0, "{new} beside {old} {}", logs(&fleet));
+        assert_new_version_is_out_of_use(&fleet).await;
     });
 }
 
