Say when stages are read, and what fails, in the pages of the rollout modules

Comments only: the module's page said that stages are read each time a daemon begins to follow the store, which happens once; public functions name their errors.

--- a/src/daemon/rollouts/result.rs
+++ b/src/daemon/rollouts/result.rs
@@ -26,7 +26,11 @@
     }
 
     /// Confirms that the store has the result of an order. Writes it if it is missing and no
-    /// daemon holds the decider key.
+    /// daemon holds the decider key: the decider itself writes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store could not be read or written.
     pub async fn confirm(&mut self, d: &Daemon, order: &Order) -> Result<(), PlatformError> {
         let Some(state) = result_of(d, order) else { return Ok(()) };
         if order.read_in_era > order.revision.era {
@@ -61,6 +65,10 @@
 }
 
 /// Writes the status of a rollout for the operator, unless the store holds it already.
+///
+/// # Errors
+///
+/// Returns why the store could not be read or written.
 pub async fn write_status(
     d: &Daemon,
     order: &Order,
--- a/src/daemon/rollouts/stored.rs
+++ b/src/daemon/rollouts/stored.rs
@@ -3,8 +3,13 @@
 //! The decider writes each stage to the store before it sends it to other daemons, and other
 //! daemons only remember what they received. Where all daemons that remember a stage end
 //! together, the store alone knows which version gets no calls. So a daemon reads the stages
-//! before it puts its first configuration in force, and each time it begins to follow the
-//! store. docs/design/ROLLOUTS.md has the alternatives.
+//! before it puts its first configuration from the store in force, and again when it first
+//! follows the store. docs/design/ROLLOUTS.md has the alternatives.
+//!
+//! # Limits
+//!
+//! A daemon that gets its first configuration from a member knows the stages that the records
+//! of members announce.
 
 use super::{HOLD_AFTER_COMPLETION, decider};
 use crate::daemon::Daemon;
@@ -18,6 +23,7 @@
 /// The state of a rollout in the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoredRollout {
+    /// The last stage that was written.
     pub stage: Stage,
     /// When the order was first seen, in Unix milliseconds.
     pub began_ms: u64,
@@ -37,8 +43,13 @@
 
 /// Applies the stages in the store, as a daemon that has not put a configuration in force yet.
 ///
-/// The read may be stale, which costs the store less: any stage of a rollout holds upstreams of
-/// an unproven version.
+/// The read may be stale, which costs the store less: an earlier stage of a rollout holds the
+/// new version as well. What it lacks is read when a daemon follows the store.
+///
+/// # Errors
+///
+/// Returns why the store could not be read. The caller must not put a configuration in force
+/// then: calls would go to versions that get none.
 pub async fn restore_at_start(d: &Daemon) -> Result<(), PlatformError> {
     if d.platform_adapter.is_none() {
         return Ok(());
@@ -51,6 +62,10 @@
 
 /// Applies the stages in the store and publishes them, since no other daemon may know them. Does
 /// so once: from then on stages reach a follower by orders and from other daemons.
+///
+/// # Errors
+///
+/// Returns why the store could not be read.
 pub async fn restore_as_follower(d: &Daemon) -> Result<(), PlatformError> {
     if d.platform_adapter.is_none() || d.rollouts.is_restored.load(Ordering::Relaxed) {
         return Ok(());
@@ -91,6 +106,10 @@
 ///
 /// Failure: the store is restored, and later all daemons are killed. Symptom: a version that was
 /// rolled back is in trial again, or an ordinary one.
+///
+/// # Errors
+///
+/// Returns why the store could not be read or written.
 pub async fn rewrite(d: &Daemon, service: &str) -> Result<(), PlatformError> {
     let Some(stage) = d.rollouts.latest_stage(service) else { return Ok(()) };
     let key = keys::rollout(service);
@@ -101,7 +120,7 @@
     }
     let revision = pair.map_or(Revision::ABSENT, |pair| pair.revision);
     log::info!("rollout of {service}: writes the stage again, the store was restored");
-    // The beginning and the counts matter for a rollout that goes on.
+    // The beginning and the counts matter only for a rollout that goes on.
     let stored = StoredRollout { stage, began_ms: 0, seen: 0, granted: 0 };
     match d.store.compare_and_swap(&key, revision, &rpc::encode(&stored), None).await? {
         ConditionalWrite::Applied => Ok(()),
