Ask the health about late reports also ten seconds after a start

The first of its late heartbeats arrives eleven seconds after the start.

Cause: a daemon asked the health about reports of an unknown past for ten seconds only, and took each later report for the present state. A late heartbeat within the ten seconds had the health deny the incarnation, which holds for ever; so the tests, which deliver one each half second, passed.

Change: the health is asked about each incarnation that may have left before the start, for as long as daemons remember departures, two minutes. An incarnation whose start time is later than the daemon's is believed at once as before. After ten seconds a health that does not answer keeps nobody out, as before. Cost: one health request to the own host for a new incarnation whose start time the platform does not tell; nothing else.

The core's test of first reports expected the report after ten seconds to be believed, which was the fault. It is split: the new one asks for a confirmation up to the second before two minutes, and at once from an incarnation that is younger than its daemon. Two tests judged at ten seconds what holds long after a start; they do so at two minutes now. The comment of late_heartbeats_bring_no_instance_back_whenever_they_arrive said more than it checks.

--- a/crates/core/src/membership/reports.rs
+++ b/crates/core/src/membership/reports.rs
@@ -11,10 +11,12 @@
 //! A report of an upstream that this daemon itself found gone is believed once its health or
 //! a later report confirms it: no leaving of it was acknowledged.
 //!
-//! A report from more than [`STARTUP_WINDOW`] after the start was not sent before it, and
-//! one with a later start time than that of a known incarnation is of a new incarnation;
-//! both are believed at once, unless the health has denied the incarnation.
+//! An incarnation that started after this daemon cannot have left before, and one with a later
+//! start time than that of a known incarnation is a new one; the reports of both are believed at
+//! once, unless the health has denied the incarnation. So are those of any incarnation once all
+//! daemons have forgotten the departures from before the start, after [`DEPARTURE_TTL`].
 
+use super::departures::DEPARTURE_TTL;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -23,8 +25,9 @@
 /// time a report with an older start time is accepted, since the host's clock may have been
 /// set back between two starts.
 pub const LATE_REPORT_WINDOW: Duration = Duration::from_secs(5);
-/// Time after a daemon's start in which a report may have been sent before the start: twice
-/// as long as reports are usually late.
+/// Time after a daemon's start in which reports from before the start are usual: twice as long
+/// as reports are usually late. Later ones are rare, so that a health which does not answer does
+/// not keep an upstream out.
 pub const STARTUP_WINDOW: Duration = Duration::from_secs(10);
 /// Shortest time between two reports of an upstream that was found gone of which the later
 /// confirms the earlier. Reports that were held up are delivered together.
@@ -72,6 +75,8 @@
 #[derive(Clone, Debug)]
 pub struct ReportHistory {
     started: Instant,
+    /// When the daemon started, in Unix milliseconds.
+    started_ms: u64,
     /// Incarnations that left or were replaced, newest last.
     ended: VecDeque<Ended>,
     /// The last reports of upstreams that were found gone, newest last.
@@ -83,10 +88,12 @@
 }
 
 impl ReportHistory {
-    /// Creates the history of a daemon that starts now.
-    pub fn new(now: Instant) -> ReportHistory {
+    /// Creates the history of a daemon that starts now; `now_ms` is the host's wall clock in Unix
+    /// milliseconds.
+    pub fn new(now: Instant, now_ms: u64) -> ReportHistory {
         ReportHistory {
             started: now,
+            started_ms: now_ms,
             ended: VecDeque::new(),
             gone: VecDeque::new(),
             denied: VecDeque::new(),
@@ -115,13 +122,22 @@
         }
         // An end without a known start time may be of the incarnation that reports.
         let may_have_ended = self.known_starts(&report.instance).next().is_some();
-        let may_be_late = now < self.started + STARTUP_WINDOW;
-        match may_have_ended || may_be_late || self.is_denied(report) {
+        let may_have_left = self.may_have_left_before_start(report, now);
+        match may_have_ended || may_have_left || self.is_denied(report) {
             true => Credibility::Unconfirmed,
             false => Credibility::Current,
         }
     }
 
+    /// Returns whether the incarnation that reports may have left before this daemon started. In
+    /// the first seconds the wall clock is no evidence against it: it may have been set since the
+    /// incarnation started.
+    fn may_have_left_before_start(&self, report: &ReportId, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started);
+        let started_before = report.start <= self.started_ms;
+        age < STARTUP_WINDOW || (age < DEPARTURE_TTL && started_before)
+    }
+
     /// Returns the start times of the known incarnations of an instance that ended or were
     /// found gone; zero where one is unknown.
     fn known_starts(&self, instance: &str) -> impl Iterator<Item = u64> {
--- a/crates/core/tests/reports.rs
+++ b/crates/core/tests/reports.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 const HOST: HostKey = HostKey(7);
-/// When instances leave, in Unix milliseconds.
+/// When instances leave and daemons start, in Unix milliseconds.
 const AT_MS: u64 = 1_771_000_000_000;
 const TICK: Duration = Duration::from_millis(250);
 
@@ -26,15 +26,31 @@
 #[test]
 fn reports_after_a_start_have_to_be_confirmed() {
     let start = Instant::now();
-    let mut history = ReportHistory::new(start);
+    let mut history = ReportHistory::new(start, AT_MS);
     let at_once = history.judge(&report("a", 0, 9), false, start);
     let held_up_together = history.judge(&report("a", 0, 10), false, start + TICK);
     let same_again = history.judge(&report("a", 0, 9), false, start + REPEAT_INTERVAL);
     let later = history.judge(&report("a", 0, 11), false, start + REPEAT_INTERVAL);
-    let after = ReportHistory::new(start).judge(&report("a", 0, 9), false, start + STARTUP_WINDOW);
     insta::assert_compact_debug_snapshot!(
-        [at_once, held_up_together, same_again, later, after],
-        @"[Unconfirmed, Unconfirmed, Unconfirmed, Unconfirmed, Current]"
+        [at_once, held_up_together, same_again, later],
+        @"[Unconfirmed, Unconfirmed, Unconfirmed, Unconfirmed]"
+    );
+}
+
+// Guards against a report from before the start that is believed because it is very late, and
+// against an incarnation of later that is kept waiting.
+#[test]
+fn very_late_reports_have_to_be_confirmed_unless_the_incarnation_is_younger() {
+    let start = Instant::now();
+    let mut history = ReportHistory::new(start, AT_MS);
+    let times = [start + STARTUP_WINDOW, start + DEPARTURE_TTL - TICK, start + DEPARTURE_TTL];
+    let unknown_start = times.map(|at| history.judge(&report("a", 0, 9), false, at));
+    let older = times.map(|at| history.judge(&report("b", AT_MS, 9), false, at));
+    let younger = times.map(|at| history.judge(&report("c", AT_MS + 1, 1), false, at));
+    let younger_at_once = history.judge(&report("c", AT_MS + 1, 1), false, start);
+    insta::assert_compact_debug_snapshot!(
+        (unknown_start, older, younger, younger_at_once),
+        @"([Unconfirmed, Unconfirmed, Current], [Unconfirmed, Unconfirmed, Current], [Current, Current, Current], Unconfirmed)"
     );
 }
 
@@ -43,8 +59,8 @@
 #[test]
 fn a_denial_outweighs_reports_until_health_confirms_one() {
     let start = Instant::now();
-    let now = start + STARTUP_WINDOW;
-    let mut history = ReportHistory::new(start);
+    let now = start + DEPARTURE_TTL;
+    let mut history = ReportHistory::new(start, AT_MS);
     history.denied(&report("a", 5, 9));
     let much_later = history.judge(&report("a", 5, 12), false, now);
     let another = history.judge(&report("b", 5, 1), false, now);
@@ -61,8 +77,8 @@
 #[test]
 fn an_upstream_found_gone_is_back_only_by_a_later_report() {
     let start = Instant::now();
-    let now = start + STARTUP_WINDOW;
-    let mut history = ReportHistory::new(start);
+    let now = start + DEPARTURE_TTL;
+    let mut history = ReportHistory::new(start, AT_MS);
     history.found_gone(report("a", 5, 9));
     let late = history.judge(&report("a", 5, 8), false, now);
     let next = history.judge(&report("a", 5, 10), false, now);
@@ -80,8 +96,8 @@
 #[test]
 fn an_ended_incarnation_does_not_return_and_the_next_one_does() {
     let start = Instant::now();
-    let now = start + STARTUP_WINDOW;
-    let mut history = ReportHistory::new(start);
+    let now = start + DEPARTURE_TTL;
+    let mut history = ReportHistory::new(start, AT_MS);
     history.ended("a", 5, now);
     let same = history.judge(&report("a", 5, 9), false, now);
     let unknown_start = history.judge(&report("a", 0, 9), false, now);
--- a/src/daemon/gates/mod.rs
+++ b/src/daemon/gates/mod.rs
@@ -45,9 +45,10 @@
 }
 
 impl Gates {
-    /// Creates an empty set, of a daemon that starts now.
-    pub fn new(now: Instant) -> Gates {
-        let inner = Inner { by_name: HashMap::new(), history: ReportHistory::new(now) };
+    /// Creates an empty set, of a daemon that starts now; `now_ms` is the host's wall clock in Unix
+    /// milliseconds.
+    pub fn new(now: Instant, now_ms: u64) -> Gates {
+        let inner = Inner { by_name: HashMap::new(), history: ReportHistory::new(now, now_ms) };
         Gates { started: now, inner: Mutex::new(inner) }
     }
 
--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -13,6 +13,7 @@
 use super::in_band::{self, Signals};
 use super::{Daemon, departures, health};
 use cicadashift_core::membership::record::Readiness;
+use cicadashift_core::membership::reports::STARTUP_WINDOW;
 use cicadashift_core::membership::silence::Health;
 use cicadashift_edge::interface::Announcement;
 use cicadashift_http::exec;
@@ -72,7 +73,7 @@
 ///
 /// An upstream that has no slot for the request is asked again. Where its health stays unknown,
 /// such as before the first configuration, which names the health path, the word of a daemon
-/// that remembers is enough.
+/// that remembers is enough, and after [`STARTUP_WINDOW`] the report itself.
 pub async fn confirm(d: &Daemon, report: &Announcement) -> Health {
     let answer = async {
         departures::wait_until_settled(d).await;
@@ -86,11 +87,16 @@
         }
     };
     match exec::timeout(CONFIRM_TIMEOUT, answer).await.unwrap_or(Health::Unknown) {
-        Health::Unknown if d.departures.is_restored() => Health::Good,
+        Health::Unknown if d.departures.is_restored() || is_past_start(d) => Health::Good,
         health => health,
     }
 }
 
+/// Returns whether late reports from before the start have become rare.
+fn is_past_start(d: &Daemon) -> bool {
+    d.clock.now() >= d.gates.started() + STARTUP_WINDOW
+}
+
 /// Sends a health request, and returns the announcement and in-band signals in its answer.
 async fn request_identity(d: &Daemon, address: SocketAddr) -> Option<(Announcement, Signals)> {
     let service = d.settings.services.first()?;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -407,7 +407,7 @@
             departures: departures::KnownDepartures::new(incarnation, clock.now()),
             rollouts: rollouts::Rollouts::default(),
             services: services::Services::new(settings.choice),
-            gates: gates::Gates::new(clock.now()),
+            gates: gates::Gates::new(clock.now(), clock.wall_ms()),
             dependencies: dependencies::Dependencies::default(),
             link: settings.link_mbps.map(|mbps| Mutex::new(Link::new(mbps))),
             delivery_record: record::DeliveryRecord::new(),
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use cicadashift_core::membership::reports::STARTUP_WINDOW;
 use cicadashift_http::exec;
 use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::fleet::HostedFleet;
@@ -216,8 +217,8 @@
 
 #[test]
 fn late_heartbeats_bring_no_instance_back_whenever_they_arrive() {
-    // Guards against a daemon that believes heartbeats which arrive before the first health answer
-    // or more than ten seconds after its start, although the health denies them.
+    // Guards against a daemon that believes heartbeats which arrive before the first health answer,
+    // or long after the health denied one.
     run(check_staggered_starts([0, 1, 2, 3]));
 }
 
@@ -228,6 +229,27 @@
     run(check_staggered_starts([3, 2, 1, 0]));
 }
 
+#[test]
+fn heartbeats_that_are_very_late_do_not_outweigh_a_health_that_says_no() {
+    // Guards against a daemon that no longer asks the health of an instance ten seconds after its
+    // start: the first late heartbeat arrives only then, and all daemons were killed after they
+    // acknowledged the leaving.
+    run(async {
+        let mut fleet = serving(4).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        leave(&instance, Leaving::Withdrawn).await;
+        instance.deny_health(true);
+        (0..4).for_each(|i| fleet.kill(i));
+        (0..4).for_each(|i| fleet.restart(i));
+        smol::Timer::after(STARTUP_WINDOW + Duration::from_secs(1)).await;
+        let from = Instant::now();
+        let callers = start_callers(&fleet, &[0, 1, 2, 3], from + 2 * CHECKED_TIME);
+        deliver_late_heartbeats(&instance, 3).await;
+        let (late, sent) = arrived_late(callers, &instance, from).await;
+        assert_eq!(late, 0, "of {sent}; {}", events(&fleet, 0));
+    });
+}
+
 #[test]
 fn a_leaving_outlives_the_failure_domain_that_acknowledged_it() {
     // Guards against a daemon that starts beside another one that has just started, takes its
