--- a/src/daemon/rollouts/decider.rs
+++ b/src/daemon/rollouts/decider.rs
@@ -229,10 +229,8 @@
 }
 
 /// Becomes the decider of a rollout whose order was withdrawn, if no daemon holds the decider
-/// key; the next round rolls it back.
-///
-/// Failure: an order is withdrawn, and its decider ends before it has written that. Symptom: the
-/// rollout stays in its phase, and its upstreams are held for ever.
+/// key; the next round rolls it back. Its last decider may have ended before it could do so, and
+/// without a last stage the upstreams would be held for ever.
 async fn end_withdrawn(d: &Arc<Daemon>, order: &Order) -> Result<(), PlatformError> {
     let Some(key) = d.rollout_order_key(&order.service) else { return Ok(()) };
     // A stage may arrive before the watch reports its order.
@@ -477,8 +475,8 @@
     }
 }
 
-/// Copies all stages into this daemon's own membership record, which spreads them. Expired ones are
-/// among them, since other records may have earlier stages of the same rollout.
+/// Copies all stages into this daemon's own membership record, which spreads them. Expired ones
+/// are among them, since other records may have earlier stages of the same rollout.
 pub fn publish(d: &Daemon) {
     let stages = d.rollouts.stages();
     if d.members.own().rollouts != stages {
--- a/src/daemon/rollouts/mod.rs
+++ b/src/daemon/rollouts/mod.rs
@@ -124,12 +124,11 @@
     }
 
     /// Stores a stage if it outranks the current stage of its service; returns whether it
-    /// does. A daemon that learns of a rollout by its completion has just started or was cut off,
-    /// and cannot know how long ago that was: the stage counts as expired.
+    /// does.
     ///
-    /// Failure: long after a rollout a release without an order starts a third version, and a
-    /// daemon restarts. Symptom: it holds that version for the time after a completion, and its
-    /// callers get no answers.
+    /// A daemon that learns of a rollout by its completion has just started or was cut off, and
+    /// cannot know how long ago that was. The stage counts as expired then, so that upstreams of
+    /// a version that was released since are not held.
     pub fn apply_stage(&self, stage: &Stage, now: Instant) -> bool {
         let mut stages = lock(&self.stages);
         let current = stages.get(&stage.service);
--- a/src/daemon/rollouts/stored.rs
+++ b/src/daemon/rollouts/stored.rs
@@ -102,10 +102,7 @@
 }
 
 /// Writes the last stage of a service's rollout again, if the store was restored from a copy
-/// that lacks it.
-///
-/// Failure: the store is restored, and later all daemons are killed. Symptom: a version that was
-/// rolled back is in trial again, or an ordinary one.
+/// that lacks it. If all daemons ended later, none would know the stage.
 ///
 /// # Errors
 ///
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -453,10 +453,10 @@
     Ok(())
 }
 
-/// Reads the stages of rollouts and starts a watch: after the revision in force if the store is still in the era of that
-/// revision, otherwise after reading all keys.
+/// Reads the stages of rollouts, under which orders and the configuration are applied, and starts
+/// a watch: after the revision in force if the store is still in the era of that revision,
+/// otherwise after reading all keys.
 async fn start_watch(d: &Daemon, key: &str) -> Result<ClientWatch, PlatformError> {
-    // Orders and the configuration are applied under the stages.
     stored::restore_as_follower(d).await?;
     let installed = d.versions.document.revision();
     let is_current_era = d.store.era().is_none_or(|era| era == installed.era);
