Test cut heads where the caller's daemon is not beside the upstream

The tests of answers that end in the middle of their head sent their requests to the daemon beside the upstream only. Between daemons the answer is framed once more, which nothing checked. The new test sends to another daemon: every fifth byte of the head, three framings, closed, reset and half-closed, GET and POST.

--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -39,31 +39,62 @@
 /// Sends a request whose answer is cut; returns the status and body of what the caller gets,
 /// none where that is not a complete answer.
 async fn request(fleet: &HostedFleet, prefix: &str, cut: Cut, id: &str) -> Option<(u16, String)> {
+    request_at(fleet, 0, prefix, cut, id).await
+}
+
+/// Sends such a request to a daemon, which need not be beside the upstream.
+async fn request_at(
+    fleet: &HostedFleet,
+    entry: usize,
+    prefix: &str,
+    cut: Cut,
+    id: &str,
+) -> Option<(u16, String)> {
     let method = if prefix == IDEMPOTENT { Method::GET } else { Method::POST };
-    let res = fleet.call(0, method, &cut.path(prefix), id).await?;
+    let res = fleet.call(entry, method, &cut.path(prefix), id).await?;
     Some((res.status().as_u16(), res.into_body()))
 }
 
+/// Checks what callers of a daemon get for cuts within a head, `step` bytes apart.
+async fn check_cut_heads(fleet: &HostedFleet, upstream: &CutUpstream, entry: usize, step: usize) {
+    let mut statuses: BTreeMap<String, usize> = BTreeMap::new();
+    for (framing, end) in Cut::ALL {
+        for cut in cuts_in_head(framing, end, "0000").step_by(step) {
+            for prefix in [IDEMPOTENT, NOT_IDEMPOTENT] {
+                let id = format!("{:04}", statuses.values().sum::<usize>());
+                let got = request_at(fleet, entry, prefix, cut, &id).await;
+                let status = got.as_ref().map(|(status, _)| *status);
+                assert!(status.is_none_or(|status| status >= 500), "{cut:?} {got:?}");
+                *statuses.entry(format!("{prefix} {status:?}")).or_default() += 1;
+            }
+        }
+    }
+    let runs = upstream.runs().len();
+    let sent: usize = statuses.values().sum();
+    assert!(runs > sent / 2, "{runs} of {sent} requests reached the upstream: {statuses:?}");
+}
+
 // Guards against a cut head that becomes an answer of status 200 with an empty or short body.
 #[test]
 fn a_head_that_is_cut_short_never_becomes_an_answer() {
     run(async {
         let (fleet, upstream) = serving_cut(1).await;
-        let mut statuses: BTreeMap<String, usize> = BTreeMap::new();
-        for (framing, end) in Cut::ALL {
-            for cut in cuts_in_head(framing, end, "0000") {
-                for prefix in [IDEMPOTENT, NOT_IDEMPOTENT] {
-                    let id = format!("{:04}", statuses.values().sum::<usize>());
-                    let got = request(&fleet, prefix, cut, &id).await;
-                    let status = got.as_ref().map(|(status, _)| *status);
-                    assert!(status.is_none_or(|status| status >= 500), "{cut:?} {got:?}");
-                    *statuses.entry(format!("{prefix} {status:?}")).or_default() += 1;
-                }
-            }
-        }
-        let runs = upstream.runs().len();
-        let sent: usize = statuses.values().sum();
-        assert!(runs > sent / 2, "{runs} of {sent} requests reached the upstream: {statuses:?}");
+        check_cut_heads(&fleet, &upstream, 0, 1).await;
+    });
+}
+
+// Guards against the same where the daemon that the caller asks is not the one beside the upstream,
+// and gets the answer from that one.
+#[test]
+fn a_head_that_is_cut_short_never_becomes_an_answer_of_another_daemon() {
+    run(async {
+        let (fleet, upstream) = serving_cut(2).await;
+        assert!(fleet.daemons[1].instance.drain().await);
+        let is_drained = async |fleet: &HostedFleet| {
+            fleet.sees_instances(0, 1).await && fleet.sees_instances(1, 1).await
+        };
+        assert!(fleet.wait(is_drained).await, "{}", fleet.log(1));
+        check_cut_heads(&fleet, &upstream, 1, 5).await;
     });
 }
 
