Believe no late report before the first configuration

Cause: before the first configuration the health path is not known, so that the health cannot be asked. Then the word of a daemon that was running before was enough. The trace: "report 100002 may be late" 0.6 s after the start, announced in the same millisecond, the configuration in force 0.24 s later, from a member.

Ruled out: the health, which had denied a report two seconds earlier; the mend of ten seconds, since the daemon was 0.6 s old.

Change: a report waits for the first configuration, then for the health. The health is asked as soon as the configuration is in force (greet::run), so that a sound instance is in use then; before, nothing could be served without a configuration either.

--- a/src/daemon/greet.rs
+++ b/src/daemon/greet.rs
@@ -35,7 +35,7 @@
 /// Sends health requests until the upstream on this host is registered, at most `ATTEMPTS`.
 pub async fn run(d: Arc<Daemon>) {
     let Some(address) = d.settings.upstream else { return };
-    while d.versions.running_version() == 0 {
+    while !has_health_path(&d) {
         Timer::after(CONFIG_POLL_INTERVAL).await;
     }
     departures::wait_until_settled(&d).await;
@@ -72,26 +72,32 @@
 /// are heard first, if there are any: they know whether the upstream left.
 ///
 /// An upstream that has no slot for the request is asked again. Where its health stays unknown,
-/// such as before the first configuration, which names the health path, the word of a daemon
-/// that remembers is enough, and after [`STARTUP_WINDOW`] the report itself.
+/// the word of a daemon that remembers is enough, and after [`STARTUP_WINDOW`] the report itself.
+///
+/// Before the first configuration, which names the health path, no word of others is enough:
+/// daemons that were running before this one may have started after the leaving.
 pub async fn confirm(d: &Daemon, report: &Announcement) -> Health {
     let answer = async {
         departures::wait_until_settled(d).await;
         loop {
             let health = health::request(d, report.address, &report.instance).await;
-            let has_path = d.versions.running_version() != 0;
-            if health != Health::Unknown || (!has_path && d.departures.is_restored()) {
+            if health != Health::Unknown {
                 return health;
             }
             Timer::after(PAUSE).await;
         }
     };
     match exec::timeout(CONFIRM_TIMEOUT, answer).await.unwrap_or(Health::Unknown) {
-        Health::Unknown if d.departures.is_restored() || is_past_start(d) => Health::Good,
+        Health::Unknown if is_past_start(d) => Health::Good,
+        Health::Unknown if has_health_path(d) && d.departures.is_restored() => Health::Good,
         health => health,
     }
 }
 
+fn has_health_path(d: &Daemon) -> bool {
+    d.versions.running_version() != 0
+}
+
 /// Returns whether late reports from before the start have become rare.
 fn is_past_start(d: &Daemon) -> bool {
     d.clock.now() >= d.gates.started() + STARTUP_WINDOW
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -8,6 +8,7 @@
 use cicadashift_http::hyper::Method;
 use cicadashift_testkit::hosted::fleet::HostedFleet;
 use cicadashift_testkit::hosted::instance::Instance;
+use cicadashift_testkit::hosted::store::Outage;
 use common::run;
 use serde_json::json;
 use std::path::Path;
@@ -250,6 +251,28 @@
     });
 }
 
+#[test]
+fn daemons_that_forgot_a_leaving_do_not_vouch_for_a_late_heartbeat() {
+    // Guards against a daemon that believes a late heartbeat on the word of others before it has a
+    // configuration, which names the health path: all daemons were killed after they acknowledged
+    // the leaving, and the one beside the instance is killed again while the store is away.
+    run(async {
+        let mut fleet = serving(4).await;
+        let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
+        leave(&instance, Leaving::Withdrawn).await;
+        instance.deny_health(true);
+        (0..4).for_each(|i| fleet.kill(i));
+        (0..4).for_each(|i| fleet.restart(i));
+        smol::Timer::after(Duration::from_secs(4)).await;
+        fleet.store.change_faults(|faults| faults.down = Some(Outage::Busy));
+        let from = Instant::now();
+        let callers = start_callers(&fleet, &[0, 1, 2, 3], from + 2 * CHECKED_TIME);
+        restart_and_deliver_late(&mut fleet, 0, from + CHECKED_TIME).await;
+        let (late, sent) = arrived_late(callers, &instance, from).await;
+        assert_eq!(late, 0, "of {sent}; {}", events(&fleet, 0));
+    });
+}
+
 #[test]
 fn a_leaving_outlives_the_failure_domain_that_acknowledged_it() {
     // Guards against a daemon that starts beside another one that has just started, takes its
