Have the soak cut heads of answers and deliver very late heartbeats

In runs of more than 18 s every third instance that leaves has its first late heartbeat eleven seconds later, and all daemons are killed when it leaves.

--- a/crates/testkit/src/hosted/front.rs
+++ b/crates/testkit/src/hosted/front.rs
@@ -1,12 +1,19 @@
 //! A TCP relay in front of an instance, which simulates the end of its process by closing
-//! its port and all its connections.
+//! its port and all its connections. It can also end connections in the middle of an answer's
+//! head.
 
 use cicadashift_http::exec;
-use smol::io::copy;
+use smol::io::{AsyncReadExt, AsyncWriteExt, copy};
 use smol::{Async, Task};
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Bytes that are relayed at once; more than any head.
+const BUFFER_BYTES: usize = 16 << 10;
+const STATUS_LINE_START: &[u8] = b"HTTP/1.1 ";
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// Accepts the connections of an instance and relays their bytes to its server.
 pub struct Relay {
     /// The address at which the instance is reached.
@@ -16,6 +23,16 @@
     accept_task: Mutex<Option<Task<()>>>,
     /// One task for each connection. Dropping a task closes its sockets.
     connections: Arc<Mutex<Vec<Task<()>>>>,
+    cuts: Arc<Mutex<Cuts>>,
+}
+
+/// Where heads are cut.
+#[derive(Default)]
+struct Cuts {
+    /// Bytes of a head that are relayed before its connection is closed; `None` cuts none.
+    after_bytes: Option<usize>,
+    /// Heads that were cut.
+    count: usize,
 }
 
 impl Relay {
@@ -27,8 +44,13 @@
     pub fn start(server: SocketAddr) -> Relay {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
         let addr = listener.get_ref().local_addr().expect("a bound socket has an address");
-        let relay =
-            Relay { addr, server, accept_task: Mutex::default(), connections: Arc::default() };
+        let relay = Relay {
+            addr,
+            server,
+            accept_task: Mutex::default(),
+            connections: Arc::default(),
+            cuts: Arc::default(),
+        };
         relay.listen(listener);
         relay
     }
@@ -57,11 +79,22 @@
         self.listen(listener);
     }
 
+    /// Closes each connection after so many bytes of the next answer's head, or none from now on.
+    pub fn cut_heads(&self, after_bytes: Option<usize>) {
+        lock(&self.cuts).after_bytes = after_bytes;
+    }
+
+    /// Returns the number of heads that were cut.
+    pub fn heads_cut(&self) -> usize {
+        lock(&self.cuts).count
+    }
+
     fn listen(&self, listener: Async<TcpListener>) {
         let (server, connections) = (self.server, Arc::downgrade(&self.connections));
+        let cuts = self.cuts.clone();
         let accept_task = exec::spawn(async move {
             while let Ok((inbound, _)) = listener.accept().await {
-                let connection = exec::spawn(relay_connection(inbound, server));
+                let connection = exec::spawn(relay_connection(inbound, server, cuts.clone()));
                 match connections.upgrade() {
                     Some(connections) => lock(&connections).push(connection),
                     None => return,
@@ -72,13 +105,43 @@
     }
 }
 
-async fn relay_connection(inbound: Async<TcpStream>, server: SocketAddr) {
+async fn relay_connection(inbound: Async<TcpStream>, server: SocketAddr, cuts: Arc<Mutex<Cuts>>) {
     let Ok(outbound) = Async::<TcpStream>::connect(server).await else { return };
     let _best_effort = (inbound.get_ref().set_nodelay(true), outbound.get_ref().set_nodelay(true));
     // The first side that closes ends both directions.
     let forward = copy(&inbound, &outbound);
-    let backward = copy(&outbound, &inbound);
-    let _closed = smol::future::or(forward, backward).await;
+    let backward = relay_answers(&outbound, &inbound, &cuts);
+    let _closed = smol::future::or(async { forward.await.map(drop) }, backward).await;
+}
+
+/// Relays answers until the server closes the connection or a head is cut.
+async fn relay_answers(
+    mut server: &Async<TcpStream>,
+    mut client: &Async<TcpStream>,
+    cuts: &Mutex<Cuts>,
+) -> io::Result<()> {
+    let mut buf = vec![0; BUFFER_BYTES];
+    loop {
+        let len = server.read(&mut buf).await?;
+        if len == 0 {
+            return Ok(());
+        }
+        let cut = lock(cuts).of(&buf[..len]);
+        client.write_all(&buf[..cut.unwrap_or(len)]).await?;
+        if cut.is_some() {
+            return Ok(());
+        }
+    }
+}
+
+impl Cuts {
+    /// Returns how many of these bytes are relayed if they begin with a head that is to be cut.
+    fn of(&mut self, bytes: &[u8]) -> Option<usize> {
+        let after_bytes = self.after_bytes.filter(|_| bytes.starts_with(STATUS_LINE_START))?;
+        let end = bytes.windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
+        self.count += 1;
+        Some(after_bytes.min(end))
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -311,6 +311,16 @@
         *lock(&self.shared.answers_health) = answers_health;
     }
 
+    /// Closes each connection after so many bytes of the next answer's head, or none from now on.
+    pub fn cut_heads(&self, after_bytes: Option<usize>) {
+        self.shared.relay.cut_heads(after_bytes);
+    }
+
+    /// Returns the number of answers whose heads were cut.
+    pub fn heads_cut(&self) -> usize {
+        self.shared.relay.heads_cut()
+    }
+
     /// Makes health answers say that the instance takes no calls, or what it does.
     pub fn deny_health(&self, denies_health: bool) {
         *lock(&self.shared.denies_health) = denies_health;
--- a/tests/soak/leavings.rs
+++ b/tests/soak/leavings.rs
@@ -18,6 +18,12 @@
 const LOG_DELAY: Duration = Duration::from_millis(60);
 /// Least and longest delay of the first of its late heartbeats, in milliseconds.
 const LATE_HEARTBEAT: (u64, u64) = (200, 4000);
+/// Delay of the first late heartbeat of some instances, beyond the time in which reports are
+/// usually late, and how long these instances go on serving.
+const VERY_LATE_HEARTBEAT: Duration = Duration::from_secs(11);
+const SERVES_ON_FOR_LONG: Duration = Duration::from_secs(18);
+/// One of so many instances that leave is such a one, in runs that are long enough.
+const VERY_LATE_EVERY: usize = 3;
 /// Time between two of them, and the most of them.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
 const MAX_LATE_HEARTBEATS: u64 = 3;
@@ -31,6 +37,8 @@
     instance: String,
     /// When its daemon acknowledged that it leaves.
     acknowledged: Instant,
+    /// How long it serves after that.
+    serves_on: Duration,
     /// When the late heartbeats arrive that have not arrived yet.
     late_heartbeats: VecDeque<Instant>,
     /// Sequence number of the next one.
@@ -40,12 +48,18 @@
 }
 
 /// The instances that left in a run.
-#[derive(Default)]
 pub struct Leavings {
     all: Vec<Leaving>,
+    /// Whether the run lasts until heartbeats arrive that are very late.
+    has_very_late: bool,
 }
 
 impl Leavings {
+    /// Creates the list of a run of this duration.
+    pub fn new(run_time: Duration) -> Leavings {
+        Leavings { all: Vec::new(), has_very_late: run_time > SERVES_ON_FOR_LONG }
+    }
+
     /// Returns the daemon beside the instance that left last and still serves.
     pub fn last(&self) -> Option<usize> {
         let mut leaving = self.all.iter().rev().filter(|leaving| leaving.ended.is_none());
@@ -57,6 +71,12 @@
         self.all.iter().any(|leaving| leaving.i == i && leaving.ended.is_none())
     }
 
+    /// Returns whether the instance beside a daemon has left and its late heartbeats are very late.
+    pub fn is_very_late(&self, i: usize) -> bool {
+        let is_one = |leaving: &Leaving| leaving.i == i && leaving.serves_on > SERVES_ON;
+        self.all.iter().any(|leaving| is_one(leaving) && leaving.ended.is_none())
+    }
+
     /// Has the health of all instances that have left say so: where all that remember a leaving
     /// are killed, nothing else tells.
     pub fn deny_health(&self, fleet: &HostedFleet) {
@@ -68,7 +88,12 @@
     /// Has an instance leave, which goes on serving.
     pub async fn begin(&mut self, fleet: &HostedFleet, random: &mut Random, i: usize) -> String {
         let (first, most) = LATE_HEARTBEAT;
-        let late_by = Duration::from_millis(first + random.below(most - first));
+        let is_very_late = self.has_very_late && self.all.len().is_multiple_of(VERY_LATE_EVERY);
+        let (least, serves_on) = match is_very_late {
+            true => (VERY_LATE_HEARTBEAT, SERVES_ON_FOR_LONG),
+            false => (Duration::ZERO, SERVES_ON),
+        };
+        let late_by = least + Duration::from_millis(first + random.below(most - first));
         let denies_health = random.below(2) == 0;
         let late_count = 1 + random.below(MAX_LATE_HEARTBEATS) as u32;
         if self.is_leaving(i) {
@@ -91,6 +116,7 @@
             i,
             instance: instance.id(),
             acknowledged,
+            serves_on,
             late_heartbeats: (0..late_count)
                 .map(|n| acknowledged + late_by + n * HEARTBEAT_INTERVAL)
                 .collect(),
@@ -112,7 +138,7 @@
                 // The timeout keeps a frozen or stopped daemon from delaying all other faults.
                 let _any_outcome = exec::timeout(OUTAGE_TIME, late).await;
             }
-            if now >= leaving.acknowledged + SERVES_ON {
+            if now >= leaving.acknowledged + leaving.serves_on {
                 leaving.ended = Some(Instant::now());
                 limits.name(fleet, leaving.i, None);
                 instance.deny_health(false);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod cuts;
 mod downloads;
 mod leavings;
 mod rollbacks;
@@ -17,6 +18,7 @@
 use cicadashift_testkit::hosted::instance::AnswerMode;
 use cicadashift_testkit::hosted::store::{Outage, StoreCopy};
 use common::run;
+use cuts::Cuts;
 use downloads::Downloads;
 use leavings::Leavings;
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,10 +37,10 @@
 const CI_SEEDS: std::ops::Range<u64> = 1..4;
 const CI_SECONDS: u64 = 12;
 /// Seeds that have failed, with the cause.
-const REGRESSIONS: [(u64, &str); 1] = [(
-    12,
-    "no daemon could be told of a leaving, and the one that knew of it was killed in series",
-)];
+const REGRESSIONS: [(u64, &str); 2] = [
+    (12, "no daemon could be told of a leaving, and the one that knew of it was killed in series"),
+    (120, "a daemon that was killed twice believed others that had forgotten a leaving as well"),
+];
 /// Duration of the store outage before a restore from a copy, and of a restart of an instance.
 const OUTAGE_TIME: Duration = Duration::from_millis(300);
 /// Maximum time until all daemons serve again after the last fault.
@@ -180,7 +182,8 @@
 fn guarantees_hold_under_random_faults() {
     // Callers send idempotent and non-idempotent requests throughout the run. Daemons are
     // killed, frozen, stopped and reloaded; instances crash, leave, do not answer, or answer
-    // with the id of another request, break huge answers off or stall in them; the store fails
+    // with the id of another request, break huge answers off or stall in them, or end their
+    // connections in the middle of an answer's head; the store fails
     // and is restored from a copy. No
     // non-idempotent request may run twice or after a refusal, no caller may get the answer
     // to another request, and all daemons must serve again after the last fault. One caller
@@ -242,7 +245,8 @@
     let mut operator = Operator { version: 2, copy: None };
     let mut disturbances = Disturbances::default();
     let mut limits = Limits::default();
-    let mut leavings = Leavings::default();
+    let mut leavings = Leavings::new(time);
+    let cuts = Cuts::start(seed, &fleet);
     let until = Instant::now() + time;
     while Instant::now() < until {
         leavings.advance(&fleet, &mut limits).await;
@@ -256,6 +260,7 @@
         fault_log.push(inject_fault(&mut run, &mut random).await);
         smol::Timer::after(Duration::from_millis(100 + random.below(500))).await;
     }
+    cuts.end(seed).await;
     fatal_caller.cancel().await;
     check_fatal_runs(seed, &fleet, &disturbances, &fault_log);
     check_limits(seed, &fleet, &limits, &disturbances, &fault_log);
@@ -518,7 +523,14 @@
             fleet.daemons[i].instance.restart_at(unix_ms()).await;
             format!("instance {i} leaves and starts again")
         }
-        19 | 20 => leavings.begin(fleet, random, i).await,
+        19 | 20 => {
+            let begun = leavings.begin(fleet, random, i).await;
+            if !leavings.is_very_late(i) {
+                return begun;
+            }
+            // Nobody remembers the leaving when its late heartbeats arrive.
+            format!("{begun}, {}", kill_together(run, 0..count))
+        }
         21 => {
             let Some(i) = leavings.last() else {
                 kill_in_series(fleet, disturbances, i, 1 + random.below(3)).await;
@@ -537,17 +549,21 @@
 /// Kills daemons around an instance that is leaving: the one beside it, its failure domain, or
 /// all. Returns a description.
 async fn kill_around_leaving(run: &mut Run<'_>, random: &mut Random, i: usize) -> String {
-    let Run { fleet, disturbances, leavings, .. } = run;
-    let count = fleet.daemons.len();
+    let count = run.fleet.daemons.len();
     let domain = if i < 2 { 0..2.min(count) } else { 2..count };
-    let range = match random.below(4) {
-        0 => domain,
-        1 => 0..count,
+    match random.below(4) {
+        0 => kill_together(run, domain),
+        1 => kill_together(run, 0..count),
         _ => {
-            kill_in_series(fleet, disturbances, i, 1 + random.below(3)).await;
-            return format!("{i} killed in series");
+            kill_in_series(run.fleet, run.disturbances, i, 1 + random.below(3)).await;
+            format!("{i} killed in series")
         }
-    };
+    }
+}
+
+/// Kills daemons at the same moment and starts them again. Returns a description.
+fn kill_together(run: &mut Run<'_>, range: std::ops::Range<usize>) -> String {
+    let Run { fleet, disturbances, leavings, .. } = run;
     leavings.deny_health(fleet);
     let killed: Vec<usize> = range.filter(|i| !disturbances.stopped.contains(i)).collect();
     for i in &killed {
