Test late heartbeats while daemons start one after the other and the store is slow

So a second test guards it, on the way that a slow machine takes: departures::late_heartbeats_bring_no_instance_back_while_the_store_is_slow.

That this is what the users saw is suspected, not shown.

--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -30,6 +30,8 @@
 const OLD_SEQUENCE: u64 = 0;
 /// Sequence number of the first heartbeat that was on its way when its instance left.
 const LATE_SEQUENCE: u64 = 100_000;
+/// Delay of all answers of a slow store.
+const SLOW_STORE_DELAY: Duration = Duration::from_millis(900);
 /// Time for which a daemon waits until another one remembers a leaving.
 const REPLICATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time within which instances must be in use again after their daemons started: one second to
@@ -191,13 +193,14 @@
 
 /// Kills all daemons after an acknowledged leaving, starts them one after the other, and delivers
 /// a late heartbeat each half second, each with a higher sequence number. Checks that the instance,
-/// whose health says no, gets no late request.
-async fn check_staggered_starts(order: [usize; 4]) {
+/// whose health says no, gets no late request. The store answers after a delay.
+async fn check_staggered_starts(order: [usize; 4], store_delay: Duration) {
     let mut fleet = serving(4).await;
     let instance: Arc<Instance> = fleet.daemons[0].instance.clone();
     let left = leave(&instance, Leaving::Withdrawn).await;
     instance.deny_health(true);
     (0..4).for_each(|i| fleet.kill(i));
+    fleet.store.change_faults(|faults| faults.delay = store_delay);
     let callers = start_callers(&fleet, &order, Instant::now() + LONG_CHECKED_TIME);
     let mut sequence = LATE_SEQUENCE;
     let mut starts = order.iter();
@@ -220,14 +223,21 @@
 fn late_heartbeats_bring_no_instance_back_whenever_they_arrive() {
     // Guards against a daemon that believes heartbeats which arrive before the first health answer,
     // or long after the health denied one.
-    run(check_staggered_starts([0, 1, 2, 3]));
+    run(check_staggered_starts([0, 1, 2, 3], Duration::ZERO));
 }
 
 #[test]
 fn late_heartbeats_bring_no_instance_back_whichever_daemon_starts_first() {
     // Guards against the same where the daemon beside the instance starts last, and may take the
     // word of those that started just before it.
-    run(check_staggered_starts([3, 2, 1, 0]));
+    run(check_staggered_starts([3, 2, 1, 0], Duration::ZERO));
+}
+
+#[test]
+fn late_heartbeats_bring_no_instance_back_while_the_store_is_slow() {
+    // Guards against the same where the daemon beside the instance has no configuration for a
+    // while, so that it does not know the health path.
+    run(check_staggered_starts([3, 2, 1, 0], SLOW_STORE_DELAY));
 }
 
 #[test]
