--- a/tests/soak/leavings.rs
+++ b/tests/soak/leavings.rs
@@ -88,7 +88,7 @@
     /// Has an instance leave, which goes on serving.
     pub async fn begin(&mut self, fleet: &HostedFleet, random: &mut Random, i: usize) -> String {
         let (first, most) = LATE_HEARTBEAT;
-        let is_very_late = self.has_very_late && self.all.len().is_multiple_of(VERY_LATE_EVERY);
+        let is_very_late = self.has_very_late && self.all.len() % VERY_LATE_EVERY == 0;
         let (least, serves_on) = match is_very_late {
             true => (VERY_LATE_HEARTBEAT, SERVES_ON_FOR_LONG),
             false => (Duration::ZERO, SERVES_ON),
