Name the commit of the build in the first line of a daemon's log

Nothing in a daemon's log told which sources its program was built from, so that a run of an older program could not be told from a fault that does not show here.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -228,10 +228,11 @@
     };
     let d = Arc::new(Daemon::new(settings, clock, ports, udp)?);
     log::info!(
-        "started: callers {}, upstreams {}, mesh {}",
+        "started: callers {}, upstreams {}, mesh {}; built from commit {}",
         ports.callers,
         ports.upstreams,
-        ports.mesh
+        ports.mesh,
+        env!("CICADASHIFT_COMMIT")
     );
     let serving = serve(&d, callers, upstreams, mesh)?;
     let background = start_background(&d, changes);
