Let a watch whose answer cannot be used go on from the present state

Callers and operators: after six orders of 600 KB, or a dozen large configurations accepted during an outage, no daemon followed the store any more (`follows_store` false at all four, for ever), and each sent it the same request every second. A rollout whose order was withdrawn as the store dropped its history went on without its order.

Cause: a watch requests the changes after a revision, whose sum has no bound, and the client takes 4 MiB. The watch failed, began again after the same revision and got the same answer. The same for an answer that takes longer than the client waits, or that cannot be parsed; and for one item that is not base64, which hid all others of its list. After a history that is gone, present items were reported and deletions were not.

Ruled out: odd entries themselves. No value under any key ends a daemon (tests/odd_entries.rs).

Change: such a watch reports all present items as such (`Change::All`), page by page; a revision whose changes could not be read is remembered, so that the answer is requested once, also where the present state cannot be read just then. Items that cannot be decoded are left out and named once in the log.

--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -184,6 +184,20 @@
     Put(Pair),
     /// A key was deleted or its lease ended.
     Deleted(String),
+    /// The changes are not known. These are all present items; other keys are gone.
+    All(Vec<Pair>),
+}
+
+impl Change {
+    /// Returns the item with a key, if the change reports it as present.
+    pub fn pair(&self, key: &str) -> Option<&Pair> {
+        let pairs = match self {
+            Change::Put(pair) => std::slice::from_ref(pair),
+            Change::All(pairs) => pairs,
+            Change::Deleted(_) => &[],
+        };
+        pairs.iter().find(|pair| pair.key == key)
+    }
 }
 
 /// A running watch.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -19,4 +19,4 @@
 pub mod server;
 mod socket;
 
-pub use hyper;
+pub use {hyper, log};
--- a/crates/testkit/src/hosted/store.rs
+++ b/crates/testkit/src/hosted/store.rs
@@ -48,6 +48,11 @@
     pub lose_answers: u32,
     /// Transactions that write a key with this prefix are answered 503 and not executed.
     pub refused_writes: Option<&'static str>,
+    /// Reads of a key, or of keys, with this prefix are answered 503.
+    pub refused_reads: Option<&'static str>,
+    /// Answers to watches are held back, as if the store took longer to collect the changes than
+    /// any reader waits.
+    pub late_watches: bool,
 }
 
 #[derive(Clone)]
@@ -120,6 +125,11 @@
         lock(&self.state).put(key, STANDARD.encode(value), 0);
     }
 
+    /// Writes a key whose value is answered as this text, which need not be base64.
+    pub fn put_text(&self, key: &str, text: &str) {
+        lock(&self.state).put(key, text.to_string(), 0);
+    }
+
     /// Returns the value of a key.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         let state = lock(&self.state);
@@ -264,9 +274,20 @@
     let (call, id) = path.split_once('/').unwrap_or((path, ""));
     let id: i64 = id.parse().unwrap_or(0);
     match (&head.method, call) {
+        (&Method::GET, "kv-key" | "kv-range")
+            if faults.refused_reads.is_some_and(|prefix| reads(&query, prefix)) =>
+        {
+            answer(StatusCode::SERVICE_UNAVAILABLE, &json!({}))
+        }
         (&Method::GET, "kv-key") => get(&lock(&state), &query),
         (&Method::GET, "kv-range") => range(&lock(&state), &query),
-        (&Method::GET, "kv-watch") => watch(&state, &query).await,
+        (&Method::GET, "kv-watch") => {
+            let response = watch(&state, &query).await;
+            while lock(&state).faults.late_watches {
+                smol::Timer::after(POLL_INTERVAL).await;
+            }
+            response
+        }
         (&Method::POST, "kv-txn")
             if faults.refused_writes.is_some_and(|prefix| writes(&request, prefix)) =>
         {
@@ -401,6 +422,12 @@
     puts.filter_map(|put| put["Key"].as_str()).any(|key| key.starts_with(prefix))
 }
 
+/// Returns whether a query reads keys with a prefix.
+fn reads(query: &HashMap<String, String>, prefix: &str) -> bool {
+    let read = query.get("Key").or(query.get("Prefix"));
+    read.is_some_and(|read| read.starts_with(prefix))
+}
+
 fn parse_query(text: &str) -> HashMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
     pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect()
--- a/src/daemon/reader.rs
+++ b/src/daemon/reader.rs
@@ -265,11 +265,8 @@
 }
 
 fn newest_head(changes: &[Change]) -> Result<Option<VersionRef>, PlatformError> {
-    let puts = changes.iter().filter_map(|change| match change {
-        Change::Put(pair) if pair.key == keys::HEAD => Some(pair),
-        _ => None,
-    });
-    Ok(puts.map(parse_head).collect::<Result<Vec<_>, _>>()?.into_iter().flatten().last())
+    let heads = changes.iter().filter_map(|change| change.pair(keys::HEAD));
+    Ok(heads.map(parse_head).collect::<Result<Vec<_>, _>>()?.into_iter().flatten().last())
 }
 
 fn parse_head(pair: &Pair) -> Result<Option<VersionRef>, PlatformError> {
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -410,11 +410,8 @@
         }
         *pause = RETRY_PAUSE.0;
         apply_order_changes(d, &changes);
-        let newest = changes.into_iter().rev().find_map(|change| match change {
-            Change::Put(pair) if pair.key == key => Some(pair),
-            _ => None,
-        });
-        if let Some(pair) = &newest {
+        let newest = changes.iter().rev().find_map(|change| change.pair(key));
+        if let Some(pair) = newest {
             install_text(d, Bytes::copy_from_slice(&pair.value), pair.revision, "store");
         }
         let now = d.clock.now();
@@ -440,11 +437,19 @@
             Change::Deleted(key) if d.is_rollout_order(key) => {
                 d.rollouts.withdraw_order(key.rsplit('/').next().unwrap_or_default());
             }
+            Change::All(pairs) => replace_orders(d, pairs),
             Change::Put(_) | Change::Deleted(_) => {}
         }
     }
 }
 
+/// Replaces all rollout orders by those among the present items.
+fn replace_orders(d: &Daemon, pairs: &[Pair]) {
+    let is_order = |pair: &&Pair| d.is_rollout_order(&pair.key);
+    let orders: Vec<Pair> = pairs.iter().filter(is_order).cloned().collect();
+    d.rollouts.replace_orders(d, &orders);
+}
+
 /// Reads and applies all rollout orders.
 async fn read_orders(d: &Daemon) -> Result<(), PlatformError> {
     let Some(adapter) = &d.platform_adapter else { return Ok(()) };
@@ -465,9 +470,7 @@
         return d.store.watch_from(d.operator_prefix(), installed).await;
     }
     let (pairs, watch) = d.store.list_and_watch(d.operator_prefix()).await?;
-    let is_order = |pair: &&Pair| d.is_rollout_order(&pair.key);
-    let orders: Vec<Pair> = pairs.iter().filter(is_order).cloned().collect();
-    d.rollouts.replace_orders(d, &orders);
+    replace_orders(d, &pairs);
     for pair in pairs.into_iter().filter(|pair| pair.key == key) {
         install_text(d, Bytes::from(pair.value), pair.revision, "store");
     }
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -181,6 +181,21 @@
     });
 }
 
+#[test]
+fn an_order_withdrawn_while_the_history_is_dropped_ends_its_rollout() {
+    // Guards against a rollout that goes on without its order: the store drops its history just
+    // after the order was withdrawn, so that no watch reports the deletion.
+    run(async {
+        let fleet = start_two_versions(6).await;
+        order(&fleet, "v2");
+        wait_until_running(&fleet).await;
+        fleet.store.delete_prefix(ORDER);
+        fleet.store.drop_history();
+        let back = wait_for_state(&fleet, "rolled_back", Duration::from_secs(3)).await;
+        assert!(back.is_some(), "{:?} {}", state(&fleet), logs(&fleet));
+    });
+}
+
 #[test]
 fn versions_without_an_order_are_ordinary() {
     // A release starts instances of another version without an order: they get calls as any
