Ignore a stored rollout that no decider can have written

Operators: another writer leaves one entry with the largest numbers in place of a service's own under `cicadashift/rollout/`. Every later order of the service is never carried out, and followers acquire and release the decider key for ever. No daemon ends.

Cause: no stage ever outranks the one that was read. A state is ignored now, with a log line, unless a decider can have written it: a bounded number of steps, for an order older than the state.

--- a/crates/testkit/src/hosted/fleet.rs
+++ b/crates/testkit/src/hosted/fleet.rs
@@ -411,10 +411,10 @@
     pub async fn own_status(&self, i: usize) -> Value {
         let req = Request::get("/v1/status/self").header("host", "daemon").body(body::empty());
         let Ok(req) = req else { return Value::Null };
-        let answer = self
-            .pool
-            .exchange(self.daemons[i].control, req, MAX_ANSWER_BYTES, REQUEST_TIMEOUT)
-            .await;
+        // A daemon may close a pooled connection, which was idle, as the request is written.
+        let pool = Pool::new(1);
+        let control = self.daemons[i].control;
+        let answer = pool.exchange(control, req, MAX_ANSWER_BYTES, REQUEST_TIMEOUT).await;
         let Ok(res) = answer else { return Value::Null };
         serde_json::from_slice(res.body()).unwrap_or(Value::Null)
     }
@@ -429,7 +429,18 @@
 impl HostedCaller {
     /// Sends a request. Returns `None` if no complete answer arrives.
     pub async fn call(&self, method: Method, path: &str, id: &str) -> Option<Response<String>> {
-        call(&self.pool, self.to, method, path, id, &[]).await
+        self.call_with(method, path, id, &[]).await
+    }
+
+    /// Sends a request with additional headers. Returns `None` if no complete answer arrives.
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<Response<String>> {
+        call(&self.pool, self.to, method, path, id, headers).await
     }
 }
 
--- a/src/daemon/rollouts/stored.rs
+++ b/src/daemon/rollouts/stored.rs
@@ -20,6 +20,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+/// Largest step of a stage that a decider writes. Each step is a change of the stage, at most a few
+/// in a second of the order's time.
+const MAX_STEP: u32 = 1 << 24;
+
 /// The state of a rollout in the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoredRollout {
@@ -37,7 +41,22 @@
     /// Decodes a state, or logs why that is not possible.
     pub fn decode(pair: &Pair) -> Option<StoredRollout> {
         let stored = rpc::decode::<StoredRollout>(&pair.value);
-        stored.inspect_err(|err| log::warn!("{}: cannot decode: {err}", pair.key)).ok()
+        let stored = stored.inspect_err(|err| log::warn!("{}: cannot decode: {err}", pair.key));
+        stored.ok().filter(|stored| stored.is_plausible(pair))
+    }
+
+    /// Returns whether a decider can have written this state: a few steps after its order.
+    ///
+    /// Failure: another writer leaves a state with the largest numbers. Symptom: no stage ever
+    /// outranks it, so that its order, or each later order of the service, is never carried out,
+    /// and followers acquire and release the decider key for ever.
+    fn is_plausible(&self, pair: &Pair) -> bool {
+        let Stage { order, step, .. } = self.stage;
+        let is_plausible = step <= MAX_STEP && pair.revision.supersedes(order);
+        if !is_plausible {
+            log::warn!("{}: ignored, no decider wrote step {step} of {order:?}", pair.key);
+        }
+        is_plausible
     }
 }
 
