Take a first configuration from a member only under the member's stages

Callers: after a restart of all daemons, while the store shows no stages of rollouts, a daemon that takes its first configuration from a member sends calls to a version that was rolled back: 680, 771 and 779 calls of the test's, as long as the store shows none.

Cause: the member had read the stages and not announced them yet, so that its record in the new daemon's table was older than what it knew.

Change: a daemon announces the stages as it reads them, and takes a first configuration only after a comparison of tables with the member. Ruled out: waiting for the store, which would refuse calls for as long as it is away.

rollout_restarts::a_daemon_takes_no_configuration_from_a_member_without_its_stages failed before.

--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -28,6 +28,8 @@
     Status(StatusCode),
     /// The response is of another kind than the request calls for.
     Unexpected,
+    /// The membership tables could not be compared.
+    NotCompared,
 }
 
 impl fmt::Display for MeshError {
@@ -37,6 +39,7 @@
             MeshError::Wire(err) => write!(f, "{err}"),
             MeshError::Status(status) => write!(f, "peer responded with status {status}"),
             MeshError::Unexpected => write!(f, "peer sent a response of the wrong kind"),
+            MeshError::NotCompared => write!(f, "membership tables could not be compared"),
         }
     }
 }
--- a/src/daemon/rollouts/stored.rs
+++ b/src/daemon/rollouts/stored.rs
@@ -4,12 +4,9 @@
 //! daemons only remember what they received. Where all daemons that remember a stage end
 //! together, the store alone knows which version gets no calls. So a daemon reads the stages
 //! before it puts its first configuration from the store in force, and again when it first
-//! follows the store. docs/design/ROLLOUTS.md has the alternatives.
-//!
-//! # Limits
-//!
-//! A daemon that gets its first configuration from a member knows the stages that the records
-//! of members announce.
+//! follows the store. It announces them, so that a daemon which takes its first configuration
+//! from a member finds them in the member's record. docs/design/ROLLOUTS.md has the
+//! alternatives.
 
 use super::{HOLD_AFTER_COMPLETION, decider};
 use crate::daemon::Daemon;
@@ -60,7 +57,8 @@
     }
 }
 
-/// Applies the stages in the store, as a daemon that has not put a configuration in force yet.
+/// Applies the stages in the store, as a daemon that has not put a configuration in force yet,
+/// and announces them: other daemons may take the configuration from this one.
 ///
 /// The read may be stale, which costs the store less: an earlier stage of a rollout holds the
 /// new version as well. What it lacks is read when a daemon follows the store.
@@ -75,7 +73,7 @@
     }
     let pairs = d.store.list_allow_stale(keys::ROLLOUTS).await?;
     apply(d, &pairs).await?;
-    d.services.sync(d);
+    announce(d);
     Ok(())
 }
 
@@ -92,9 +90,13 @@
     let pairs = d.store.list(keys::ROLLOUTS, false).await?;
     apply(d, &pairs).await?;
     d.rollouts.is_restored.store(true, Ordering::Relaxed);
+    announce(d);
+    Ok(())
+}
+
+fn announce(d: &Daemon) {
     decider::publish(d);
     d.services.sync(d);
-    Ok(())
 }
 
 async fn apply(d: &Daemon, pairs: &[Pair]) -> Result<(), PlatformError> {
--- a/src/daemon/source.rs
+++ b/src/daemon/source.rs
@@ -12,7 +12,7 @@
 use super::peers::MeshError;
 use super::rollouts::stored;
 use super::versions::RunningConfig;
-use super::{Daemon, datagrams, peers};
+use super::{Daemon, catch_up, datagrams, peers};
 use crate::store::{Change, ClientWatch, KeyValueStore, Pair, PlatformError, Revision, Watch};
 use bytes::Bytes;
 use cicadashift_core::config::Invalid;
@@ -280,7 +280,7 @@
     }
 }
 
-async fn fetch_and_log(d: &Daemon, to: SocketAddr, version: Version, behind: Duration) {
+async fn fetch_and_log(d: &Arc<Daemon>, to: SocketAddr, version: Version, behind: Duration) {
     let began = d.clock.now();
     let result = fetch_update(d, to).await;
     let took = d.clock.now().saturating_duration_since(began);
@@ -330,8 +330,15 @@
 }
 
 /// Fetches from a member what this daemon lacks, and puts it in force.
-async fn fetch_update(d: &Daemon, to: SocketAddr) -> Result<(), MeshError> {
+///
+/// A first version is put in force only under the stages of rollouts in the member's record.
+/// Failure: the store shows no stages, and the member has not told its own ones yet. Symptom:
+/// calls go to a version that was rolled back.
+async fn fetch_update(d: &Arc<Daemon>, to: SocketAddr) -> Result<(), MeshError> {
     let (held, text) = d.versions.document.version_and_text();
+    if held == 0 && !catch_up::sync_with(d, to).await {
+        return Err(MeshError::NotCompared);
+    }
     if held > 0 && fetch_delta(d, to, held, &text).await? == DeltaOutcome::Done {
         return Ok(());
     }
--- a/tests/rollout_restarts.rs
+++ b/tests/rollout_restarts.rs
@@ -11,7 +11,7 @@
     wait_for_state, wait_until_running,
 };
 use common::run;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const DAEMONS: usize = 6;
 /// Daemons of a mesh in which some do not follow the store.
@@ -24,6 +24,8 @@
 const RESULT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after its completion for which a rollout holds other versions.
 const HOLD_TIME: Duration = Duration::from_secs(10);
+/// Prefix of the stages in the store.
+const STAGES: &str = "cicadashift/rollout/";
 
 fn set_answers_of_new_version(fleet: &HostedFleet, mode: AnswerMode) {
     for i in (0..fleet.daemons.len()).filter(|i| is_new(*i)) {
@@ -141,6 +143,26 @@
     });
 }
 
+#[test]
+fn a_daemon_takes_no_configuration_from_a_member_without_its_stages() {
+    // Guards against a member that read the stage and the configuration when it started, and has
+    // not announced the stage: a daemon to which the store does not show stages takes the
+    // configuration alone.
+    run(async {
+        let mut fleet = start_rolled_back().await;
+        (0..DAEMONS).for_each(|i| fleet.kill(i));
+        fleet.restart(0);
+        let until = Instant::now() + RESULT_TIMEOUT;
+        while fleet.own_status(0).await["running"].as_u64().unwrap_or(0) == 0 {
+            assert!(Instant::now() < until, "{}", logs(&fleet));
+            smol::Timer::after(Duration::from_millis(10)).await;
+        }
+        fleet.store.change_faults(|faults| faults.refused_reads = Some(STAGES));
+        (1..DAEMONS).for_each(|i| fleet.restart(i));
+        assert_new_version_is_out_of_use(&fleet).await;
+    });
+}
+
 #[test]
 fn a_roll_back_outlives_all_followers_and_the_store() {
     // Guards against daemons that start during an outage and get their configuration from members
