Let the soak write odd entries, cut quotas and spoil watches

The guarantees series writes odd entries under the prefixes that daemons read. Two series of their own: an organisation that calls at several times its quota while failure domains are cut off at random, and answers of watches that are too large or late, with dropped history, refused reads and kills.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,7 +10,10 @@
 mod cuts;
 mod downloads;
 mod leavings;
+mod odd_entries;
+mod quotas;
 mod rollbacks;
+mod watches;
 
 use cicadashift_http::exec;
 use cicadashift_http::hyper::Method;
@@ -21,6 +24,7 @@
 use cuts::Cuts;
 use downloads::Downloads;
 use leavings::Leavings;
+use odd_entries::OddEntries;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -204,6 +208,24 @@
     }
 }
 
+#[test]
+fn a_quota_is_kept_while_failure_domains_are_cut_off_at_random() {
+    // An organisation calls at several times its quota, on and off, while failure domains are cut
+    // off from each other and from the store. No window may hold more calls than the quota allows.
+    for seed in seeds() {
+        run(quotas::soak(seed, duration()));
+    }
+}
+
+#[test]
+fn changes_are_followed_after_answers_that_cannot_be_used() {
+    // The store's answers to watches are too large or late, or its history is gone, while reads
+    // are refused and daemons are killed. After the last fault a change is in force in time.
+    for seed in seeds() {
+        run(watches::soak(seed, duration()));
+    }
+}
+
 /// Returns the seeds to run.
 fn seeds() -> std::ops::Range<u64> {
     std::env::var("SOAK_SEEDS").ok().and_then(|text| parse(&text)).unwrap_or(CI_SEEDS)
@@ -247,9 +269,11 @@
     let mut limits = Limits::default();
     let mut leavings = Leavings::new(time);
     let cuts = Cuts::start(seed, &fleet);
+    let mut odd_entries = OddEntries::new(seed);
     let until = Instant::now() + time;
     while Instant::now() < until {
         leavings.advance(&fleet, &mut limits).await;
+        odd_entries.write(&fleet);
         let mut run = Run {
             fleet: &mut fleet,
             operator: &mut operator,
