Count daemons that report usage as live, whatever the membership table says

Callers: after a split, or after a loss of datagrams in one direction, far less than an organisation's limit is served for some four seconds.

Cause: a keeper took daemons for dead which do not receive its probes, and enforced the part of the limit of those that were left (3 of 8: 22.5 calls a second), although the others reported to it four times a second. It answered their reports with small shares. Found alive at last, they brought these shares, not what they had before, for the 4.5 s until the membership had settled.

Ruled out: a second keeper, which is opened only after the fall.

Change: a daemon that reported within the suspicion timeout counts as live for the part of the limit, and one that comes back counts as returned from its first report on. A report is no proof in the other direction: a daemon that is cut off sends none, so a split settles as before.

The simulated keeper knows now who it has for dead, so that a test can leave that behind the daemons' own reports.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -37,6 +37,8 @@
 //!   reported, while the daemon is live in the membership table ([`reporters`]).
 //! - *A keeper does not know whether a daemon without calls hears it*: while the demand is
 //!   high, it asks ([`contacts`]), and leaves the parts of those that do not answer.
+//! - *A keeper hears a daemon that the table has for dead*: it counts the daemon as live
+//!   ([`presence`]).
 //! - *A keeper takes over a throttled limit*: it grants the rate that the daemons reporting to
 //!   it had under the keeper before, until it is settled who is lost ([`inheritance`]).
 //! - *The mesh is split, and both parts know it*: each keeper enforces the fraction of the
@@ -62,6 +64,7 @@
 pub mod inheritance;
 pub mod keeper;
 pub mod part;
+pub mod presence;
 pub mod reporters;
 pub mod share;
 
--- a/crates/core/tests/limits/main.rs
+++ b/crates/core/tests/limits/main.rs
@@ -236,7 +236,7 @@
         }
         for _ in 0..3 {
             mesh.run(Duration::from_secs(2), OFFERED, 0..mesh.daemons.len());
-            mesh.lose_silent(third);
+            mesh.lose_first(third);
             mesh.run(Duration::from_secs(2), OFFERED, 0..mesh.daemons.len());
             mesh.find_all();
         }
@@ -244,6 +244,23 @@
     });
 }
 
+#[test]
+fn a_limit_is_served_while_daemons_that_report_are_taken_for_dead() {
+    // Guards against a keeper that takes daemons for dead which receive nothing and still report:
+    // it grants their part of the limit to nobody, also when they receive its answers again.
+    over_throttled(|mesh| {
+        let deaf = 0..mesh.daemons.len().div_ceil(3) * 2;
+        mesh.daemons[deaf.clone()].iter_mut().for_each(|daemon| daemon.is_deaf = true);
+        run_and_check_served(mesh, 4, 0.75);
+        mesh.lose_first(deaf.end);
+        run_and_check_served(mesh, 4, 0.75);
+        mesh.daemons[deaf].iter_mut().for_each(|daemon| daemon.is_deaf = false);
+        run_and_check_served(mesh, 3, 0.75);
+        mesh.find_all();
+        run_and_check_served(mesh, 10, 0.85);
+    });
+}
+
 #[test]
 fn a_keeper_of_a_partition_grants_what_its_daemons_had_before() {
     // Guards against two keepers that both grant the whole limit: while a partition finds out
@@ -256,9 +273,9 @@
             mesh.keepers.push(Keeper::new(all, 0, mesh.now));
             mesh.daemons[..third].iter_mut().for_each(|daemon| daemon.keeper = Some(1));
             run_and_check_served(mesh, 3, 0.75);
-            mesh.lose(0, third);
+            mesh.lose(0);
             run_and_check_served(mesh, 1, 0.6);
-            mesh.lose(1, all - third);
+            mesh.lose(1);
             run_and_check_served(mesh, 8, 0.85);
             (mesh.keepers[0].live, mesh.keepers[0].lost) = (all, 0);
             (mesh.keepers[1].live, mesh.keepers[1].lost) = (all, 0);
--- a/crates/core/tests/limits/mesh.rs
+++ b/crates/core/tests/limits/mesh.rs
@@ -1,10 +1,11 @@
 //! A simulated mesh on a virtual clock: daemons that admit calls under one limit, their keepers
 //! and the delay of their messages.
 
-use cicadashift_core::ids::HostKey;
+use cicadashift_core::ids::{HostKey, Incarnation};
 use cicadashift_core::limit::contacts::Contacts;
 use cicadashift_core::limit::keeper::Account;
-use cicadashift_core::limit::part::{QuotaPart, SettledFraction};
+use cicadashift_core::limit::part::{QuotaPart, SETTLE_TIME, SettledFraction};
+use cicadashift_core::limit::presence::Presence;
 use cicadashift_core::limit::reporters::Membership;
 use cicadashift_core::limit::share::{DaemonPart, Limiter};
 use cicadashift_core::limit::{
@@ -53,6 +54,9 @@
     pub account: Account,
     pub live: usize,
     pub lost: usize,
+    /// The daemons that it takes for dead, as far as the test names them.
+    pub dead: Vec<HostKey>,
+    pub presence: Presence,
     pub settled: SettledFraction,
     pub contacts: Contacts,
     /// Whether members are suspected when the first report arrives.
@@ -96,6 +100,8 @@
             account: Account::new(now),
             live,
             lost,
+            dead: Vec::new(),
+            presence: Presence::default(),
             settled: SettledFraction::new(),
             contacts: Contacts::default(),
             has_suspects: false,
@@ -107,8 +113,25 @@
     }
 
     pub fn part(&mut self, quota: Quota, now: Instant) -> QuotaPart {
-        let settled = self.settled.update(self.live, self.lost, now);
-        QuotaPart::of(quota, self.live, self.lost).settled(quota, settled)
+        let heard = self.presence.count_heard(&self.dead, now).min(self.lost);
+        let (live, lost) = (self.live + heard, self.lost - heard);
+        let settled = self.settled.update(live, lost, now);
+        QuotaPart::of(quota, live, lost).settled(quota, settled)
+    }
+
+    /// Takes daemons for dead which it had for live, and no others.
+    fn lose(&mut self, all: usize, is_dead: impl Fn(HostKey) -> bool, now: Instant) {
+        let hosts = || (0..all as u64).map(HostKey);
+        let long_ago = now.checked_sub(SETTLE_TIME).unwrap_or(now);
+        for (at, dead_too) in [(long_ago, true), (now, true), (now, false)] {
+            let live = |host: HostKey| dead_too || !is_dead(host);
+            let table = hosts().map(|host| (host, (Incarnation::default(), live(host))));
+            self.presence.update(table.collect(), at);
+        }
+        self.dead = hosts().filter(|host| is_dead(*host)).collect();
+        (self.live, self.lost) = (all - self.dead.len(), self.dead.len());
+        let presence = &self.presence;
+        self.account.reporters().update_members(|host| presence.membership(host));
     }
 }
 
@@ -163,31 +186,23 @@
     }
 
     /// Lets a keeper take daemons that do not report to it for dead.
-    pub fn lose(&mut self, keeper: usize, count: usize) {
+    pub fn lose(&mut self, keeper: usize) {
         let daemons = &self.daemons;
-        let keeper_of = |host: HostKey| daemons[host.0 as usize].keeper;
-        let lost = &mut self.keepers[keeper];
-        (lost.live, lost.lost) = (lost.live - count, count);
-        lost.account.reporters().update_members(|host| match keeper_of(host) == Some(keeper) {
-            true => Membership::Live,
-            false => Membership::Dead,
-        });
+        let is_dead = |host: HostKey| daemons[host.0 as usize].keeper != Some(keeper);
+        self.keepers[keeper].lose(daemons.len(), is_dead, self.now);
     }
 
     /// Lets the first keeper take the first daemons for dead.
-    pub fn lose_silent(&mut self, count: usize) {
-        let keeper = &mut self.keepers[0];
-        (keeper.live, keeper.lost) = (keeper.live - count, count);
-        keeper.account.reporters().update_members(|host| match (host.0 as usize) < count {
-            true => Membership::Dead,
-            false => Membership::Live,
-        });
+    pub fn lose_first(&mut self, count: usize) {
+        let is_dead = |host: HostKey| (host.0 as usize) < count;
+        self.keepers[0].lose(self.daemons.len(), is_dead, self.now);
     }
 
     /// Lets the first keeper find all daemons alive.
     pub fn find_all(&mut self) {
         let keeper = &mut self.keepers[0];
         (keeper.live, keeper.lost) = (keeper.live + keeper.lost, 0);
+        keeper.dead.clear();
         keeper.account.reporters().update_members(|_| Membership::Live);
     }
 
@@ -311,7 +326,8 @@
             let keeper = &mut self.keepers[keeper];
             let part = keeper.part(self.quota, self.now);
             let from = HostKey(i as u64);
-            if self.daemons[i].has_returned {
+            keeper.presence.note_report(from, self.now);
+            if self.daemons[i].has_returned || keeper.presence.has_returned(from) {
                 keeper.account.add_returned(from, &report, self.now);
             }
             keeper.contacts.confirm(from, self.now);
--- a/crates/core/tests/limits/splits.rs
+++ b/crates/core/tests/limits/splits.rs
@@ -147,6 +147,22 @@
         (mesh.max_in_window, (mesh.offered - mesh.refused) as usize)
     }
 
+    /// Plays the split, after which daemons report to the first keeper again, which has them for
+    /// dead for a while. Returns the most calls admitted in five seconds, and the calls admitted in
+    /// the five seconds after the split.
+    fn play_with_late_discovery(&self) -> (usize, usize) {
+        let mut mesh = Mesh::new(self.daemons, self.quota(), self.seed);
+        let lost = self.shape.lost(self.daemons);
+        let rate = self.play_until_dead(&mut mesh, &lost);
+        let daemons = || lost.iter().flat_map(Range::clone);
+        daemons().for_each(|i| mesh.daemons[i].keeper = Some(0));
+        mesh.reset_counts();
+        mesh.run(LATE_DISCOVERY, rate, 0..self.daemons);
+        mesh.find_all();
+        mesh.run(WINDOW - LATE_DISCOVERY, rate, 0..self.daemons);
+        (mesh.max_in_window, (mesh.offered - mesh.refused) as usize)
+    }
+
     /// Plays a split until each part has taken the others for dead and goes on; returns the calls
     /// offered a second.
     fn play_until_dead(&self, mesh: &mut Mesh, lost: &[Range<usize>]) -> f64 {
@@ -212,11 +228,7 @@
 
 /// Lets each part take the others for dead.
 fn take_for_dead(mesh: &mut Mesh, lost: &[Range<usize>]) {
-    let daemons = mesh.daemons.len();
-    mesh.lose(0, lost.iter().map(ExactSizeIterator::len).sum());
-    for (n, part) in lost.iter().enumerate() {
-        mesh.lose(n + 1, daemons - part.len());
-    }
+    (0..=lost.len()).for_each(|k| mesh.lose(k));
 }
 
 #[derive(Clone, Copy)]
@@ -321,6 +333,8 @@
 
 /// Time for which daemons go on with the keeper that they had in a split.
 const LATE_RETURN: Duration = Duration::from_millis(3000);
+/// Time for which a keeper has daemons for dead that report to it after a split.
+const LATE_DISCOVERY: Duration = Duration::from_millis(1000);
 /// Time without calls between the end of a split and the next one, and the time after which the
 /// calls begin again in the second split.
 const QUIET_TIME: Duration = Duration::from_millis(2500);
@@ -365,3 +379,19 @@
         }
     }
 }
+
+#[test]
+fn a_limit_is_served_after_a_split_before_daemons_are_found_alive() {
+    // Guards against a keeper that answers daemons which come back with small shares, since it still
+    // has them for dead, so that they bring these shares and not what they had.
+    for shape in [Shape::ThirdWithoutKeeper, Shape::ThirdWithKeeper] {
+        for (daemons, seed) in [6, 68].into_iter().flat_map(|n| (0..SEEDS).map(move |s| (n, s))) {
+            let split = Split { daemons, shape, before: 0.0, begin_ms: 0, seed };
+            let (most, served) = split.play_with_late_discovery();
+            let allowed = allowed(split.quota());
+            let owed = split.quota().rate_per_s as f64 * WINDOW.as_secs_f64();
+            assert!(most as f64 <= allowed, "{split:?}: {most} of {allowed}");
+            assert!(served as f64 >= owed * 0.8, "{split:?}: {served} of {owed} served");
+        }
+    }
+}
--- a/src/daemon/limits/kept.rs
+++ b/src/daemon/limits/kept.rs
@@ -2,11 +2,11 @@
 
 use crate::daemon::versions::RunningConfig;
 use crate::daemon::{Daemon, lock};
-use cicadashift_core::ids::{HostKey, Incarnation};
+use cicadashift_core::ids::HostKey;
 use cicadashift_core::limit::contacts::Contacts;
 use cicadashift_core::limit::keeper::Account;
-use cicadashift_core::limit::part::{QuotaPart, SETTLE_TIME, SettledFraction};
-use cicadashift_core::limit::reporters::Membership;
+use cicadashift_core::limit::part::{QuotaPart, SettledFraction};
+use cicadashift_core::limit::presence::Presence;
 use cicadashift_core::limit::{EARLY_REPORT_GAP, Grant, LimitKey, Report};
 use std::collections::HashMap;
 use std::fmt;
@@ -19,7 +19,7 @@
     accounts: Mutex<HashMap<LimitKey, Kept>>,
     /// The fraction of all daemons that have been live for a while.
     settled: Mutex<SettledFraction>,
-    members: Mutex<Members>,
+    presence: Mutex<Presence>,
     reach: Mutex<Reach>,
 }
 
@@ -37,15 +37,6 @@
     unreached: usize,
 }
 
-/// What the membership table said at the last update.
-#[derive(Default)]
-struct Members {
-    /// Incarnation and whether it is live, by host.
-    table: HashMap<HostKey, (Incarnation, bool)>,
-    /// When daemons were found that were no live members before.
-    found: HashMap<HostKey, Instant>,
-}
-
 struct Kept {
     account: Account,
     /// Whether daemons were silent at the last update.
@@ -55,8 +46,12 @@
 /// Adds a daemon's usage reports to the accounts kept here; returns the grants in answer.
 pub fn handle_reports(d: &Daemon, from: HostKey, reports: &[Report]) -> Vec<Grant> {
     let now = d.clock.now();
+    let has_returned = {
+        let mut presence = lock(&d.limits.kept.presence);
+        presence.note_report(from, now);
+        presence.has_returned(from)
+    };
     let parts = QuotaParts::current(d, now);
-    let is_found = lock(&d.limits.kept.members).found.contains_key(&from);
     let mut accounts = lock(&d.limits.kept.accounts);
     let mut reach = lock(&d.limits.kept.reach);
     reach.contacts.confirm(from, now);
@@ -79,7 +74,7 @@
         let kept = accounts.get_mut(&key)?;
         let was_known = kept.account.inherited_per_s().is_some();
         let needed_contacts = !is_opened && kept.account.needs_contacts(part, now);
-        if is_found {
+        if has_returned {
             kept.account.add_returned(from, report, now);
         }
         kept.account.add_report(from, report, part, now);
@@ -240,38 +235,16 @@
     }
     // Lets the settled fraction follow the membership also while no account is in use.
     QuotaParts::current(d, d.clock.now());
-    let mut members = lock(&d.limits.kept.members);
-    let before = members.update(d.members.incarnations().into_iter().collect(), d.clock.now());
-    let membership = |host: HostKey| {
-        let Some((life, is_live)) = members.table.get(&host) else { return Membership::Ended };
-        match before.get(&host) {
-            Some((before, _)) if before != life => Membership::Ended,
-            _ if *is_live => Membership::Live,
-            _ => Membership::Dead,
-        }
-    };
-    for (key, kept) in lock(&d.limits.kept.accounts).iter_mut() {
-        kept.account.reporters().update_members(membership);
+    let table = d.members.incarnations().into_iter().collect();
+    lock(&d.limits.kept.presence).update(table, d.clock.now());
+    let mut accounts = lock(&d.limits.kept.accounts);
+    let presence = lock(&d.limits.kept.presence);
+    for (key, kept) in accounts.iter_mut() {
+        kept.account.reporters().update_members(|host| presence.membership(host));
         kept.log_silent(*key);
     }
 }
 
-impl Members {
-    /// Replaces the table, and returns the one before.
-    fn update(
-        &mut self,
-        table: HashMap<HostKey, (Incarnation, bool)>,
-        now: Instant,
-    ) -> HashMap<HostKey, (Incarnation, bool)> {
-        let before = std::mem::replace(&mut self.table, table);
-        let was_live = |host| before.get(host).is_some_and(|(_, is_live)| *is_live);
-        let found = self.table.iter().filter(|(host, (_, is_live))| *is_live && !was_live(host));
-        self.found.extend(found.map(|(host, _)| (*host, now)));
-        self.found.retain(|_, since| now.saturating_duration_since(*since) < SETTLE_TIME);
-        before
-    }
-}
-
 impl Kept {
     /// Logs when daemons fall silent, and when all of them report again.
     fn log_silent(&mut self, key: LimitKey) {
@@ -306,9 +279,12 @@
 }
 
 impl QuotaParts {
-    /// Returns the parts by the membership table, of which the settled fraction takes note.
+    /// Returns the parts by the daemons that count as live, of which the settled fraction takes
+    /// note.
     fn current(d: &Daemon, now: Instant) -> QuotaParts {
-        let (live, dead) = (d.members.live_count(), d.members.dead_count());
+        let dead = d.members.dead_hosts();
+        let heard = lock(&d.limits.kept.presence).count_heard(&dead, now);
+        let (live, dead) = (d.members.live_count() + heard, dead.len() - heard);
         let settled = lock(&d.limits.kept.settled).update(live, dead, now);
         QuotaParts { running: d.versions.running(), live, dead, settled }
     }
