Let daemons that their keeper does not hear go on at the rate that it counts

Cause: the keeper counts such daemons at their last rate and more, pays the difference back with smaller shares, and announces these to all. The daemons took the smaller share from the notices, which the keeper cannot see, so that nobody used what it had counted for them.

Change: a daemon whose report is not answered keeps the share of that moment, as one that hears nothing does. Its tokens bound it to the rate that the keeper counts, as before.

limits::splits::a_jump_just_before_messages_are_lost_in_one_direction_is_served failed before.

--- a/crates/core/src/limit/share.rs
+++ b/crates/core/src/limit/share.rs
@@ -234,16 +234,15 @@
     /// Applies a grant that the keeper sent to all daemons.
     ///
     /// Where reports were not answered, the keeper hears none of them, and counts this daemon
-    /// at what it admitted before. The grant then raises no share, and is not valid for longer
-    /// than the one before.
+    /// at what it admitted before. The daemon goes on at that rate then, whatever is granted to
+    /// others, and the grant is not valid for longer than the one before.
     pub fn apply_notice(&mut self, grant: Grant, now: Instant) {
         if self.ungranted.take().is_some() && self.unanswered.is_none() {
             self.fallback_tokens = THROTTLED_BURST;
         }
         self.granted_share = grant.share;
-        let unanswered_share = self.unanswered.map_or(Grant::ALL, |unanswered| unanswered.share);
-        self.fallback_share = grant.share.min(unanswered_share);
         if self.unanswered.is_none() {
+            self.fallback_share = grant.share;
             self.grant_expires = now + GRANT_TTL;
             self.last_grant = now;
         }
--- a/crates/core/tests/limits/splits.rs
+++ b/crates/core/tests/limits/splits.rs
@@ -395,3 +395,20 @@
         }
     }
 }
+
+#[test]
+fn a_jump_just_before_messages_are_lost_in_one_direction_is_served() {
+    // Guards against daemons that admit less and less by the notices of a keeper, which hears
+    // nothing of them and counts them at the rate that they had before.
+    for begin_ms in [-300, -100, 0, 100, 300] {
+        for seed in 0..SEEDS {
+            let shape = Shape::MuteThird;
+            let split = Split { daemons: 6, shape, before: 0.62, begin_ms, seed };
+            let (most, served) = split.play();
+            let allowed = allowed(split.quota());
+            let owed = split.quota().rate_per_s as f64 * WINDOW.as_secs_f64();
+            assert!(most as f64 <= allowed, "{split:?}: {most} of {allowed}");
+            assert!(served as f64 >= owed * 0.5, "{split:?}: {served} of {owed} served");
+        }
+    }
+}
