--- a/crates/core/tests/limits/splits.rs
+++ b/crates/core/tests/limits/splits.rs
@@ -196,6 +196,19 @@
         mesh.max_in_window
     }
 
+    /// Checks the most calls admitted in five seconds, and those served in some time.
+    fn assert_kept_and_served(
+        &self,
+        (most, served): (usize, usize),
+        time: Duration,
+        min_share: f64,
+    ) {
+        let allowed = allowed(self.quota());
+        let owed = self.quota().rate_per_s as f64 * time.as_secs_f64();
+        assert!(most as f64 <= allowed, "{self:?}: {most} of {allowed}");
+        assert!(served as f64 >= owed * min_share, "{self:?}: {served} of {owed} served");
+    }
+
     fn heal(&self, mesh: &mut Mesh, lost: &[Range<usize>]) {
         for keeper in &mut mesh.keepers {
             (keeper.live, keeper.lost) = (self.daemons, 0);
@@ -371,11 +384,7 @@
     for shape in [Shape::ThirdWithoutKeeper, Shape::ThirdWithKeeper] {
         for (daemons, seed) in [6, 68].into_iter().flat_map(|n| (0..SEEDS).map(move |s| (n, s))) {
             let split = Split { daemons, shape, before: 0.0, begin_ms: 0, seed };
-            let (most, served) = split.play_with_late_return();
-            let allowed = allowed(split.quota());
-            let owed = split.quota().rate_per_s as f64 * LATE_RETURN.as_secs_f64();
-            assert!(most as f64 <= allowed, "{split:?}: {most} of {allowed}");
-            assert!(served as f64 >= owed * 0.9, "{split:?}: {served} of {owed} served");
+            split.assert_kept_and_served(split.play_with_late_return(), LATE_RETURN, 0.9);
         }
     }
 }
@@ -387,11 +396,7 @@
     for shape in [Shape::ThirdWithoutKeeper, Shape::ThirdWithKeeper] {
         for (daemons, seed) in [6, 68].into_iter().flat_map(|n| (0..SEEDS).map(move |s| (n, s))) {
             let split = Split { daemons, shape, before: 0.0, begin_ms: 0, seed };
-            let (most, served) = split.play_with_late_discovery();
-            let allowed = allowed(split.quota());
-            let owed = split.quota().rate_per_s as f64 * WINDOW.as_secs_f64();
-            assert!(most as f64 <= allowed, "{split:?}: {most} of {allowed}");
-            assert!(served as f64 >= owed * 0.8, "{split:?}: {served} of {owed} served");
+            split.assert_kept_and_served(split.play_with_late_discovery(), WINDOW, 0.8);
         }
     }
 }
@@ -404,11 +409,7 @@
         for seed in 0..SEEDS {
             let shape = Shape::MuteThird;
             let split = Split { daemons: 6, shape, before: 0.62, begin_ms, seed };
-            let (most, served) = split.play();
-            let allowed = allowed(split.quota());
-            let owed = split.quota().rate_per_s as f64 * WINDOW.as_secs_f64();
-            assert!(most as f64 <= allowed, "{split:?}: {most} of {allowed}");
-            assert!(served as f64 >= owed * 0.5, "{split:?}: {served} of {owed} served");
+            split.assert_kept_and_served(split.play(), WINDOW, 0.5);
         }
     }
 }
