Refuse answers of whose end their head says nothing

Callers got a 200 with the stamp and what was left of an answer whose length was lost: the lines of the chunks where the name of `Transfer-Encoding` was one letter off, the rest of the head as the body where an empty line ended it early.

Cause: an answer without a length ends with its connection, so hyper's client reads whatever comes until then. Here the upstream had not meant that.

Ruled out: refusing every answer without a length.

Change: an answer of HTTP/1.1 without a length is refused unless it says that its connection closes. Without that it says that the connection stays open (RFC 9112 9.3), and its body has no end. One that does say so is refused if a field of another name bears `chunked`. HTTP/1.0, HEAD, 204 and 304 are as before.

broken_answers::an_answer_that_states_no_end_is_not_passed_on, six heads. The endless body of tests/endless.rs announces its end now, to go on testing an answer that is passed on; the one without is a mode of its own (502).

--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -9,8 +9,8 @@
 //!
 //! [`docs/incidents/broken-answers.md`]: ../../../docs/incidents/broken-answers.md
 
-use hyper::Response;
 use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Method, Response, StatusCode, Version};
 use std::fmt;
 
 /// The only transfer coding that the client decodes.
@@ -23,6 +23,8 @@
     TransferCoding,
     /// Both `Transfer-Encoding` and `Content-Length` state where the body ends.
     TwoLengths,
+    /// Nothing states where the body ends.
+    NoLength,
 }
 
 impl fmt::Display for MalformedHead {
@@ -34,25 +36,33 @@
             MalformedHead::TwoLengths => {
                 write!(f, "it has both a transfer coding and a content length")
             }
+            MalformedHead::NoLength => write!(f, "nothing states where its body ends"),
         }
     }
 }
 
 impl std::error::Error for MalformedHead {}
 
-/// Checks the head of an answer, and replaces a content length that is stated several times by
-/// one.
+/// Checks the head of an answer to a request with this method, and replaces a content length that
+/// is stated several times by one.
 ///
 /// # Errors
 ///
 /// Returns what is wrong with the head.
-pub fn accept<B>(mut res: Response<B>) -> Result<Response<B>, MalformedHead> {
-    let headers = res.headers_mut();
-    check_transfer_coding(headers)?;
-    merge_content_lengths(headers);
+pub fn accept<B>(mut res: Response<B>, method: &Method) -> Result<Response<B>, MalformedHead> {
+    check_transfer_coding(res.headers())?;
+    if has_body(res.status(), method) {
+        check_body_end(res.version(), res.headers())?;
+    }
+    merge_content_lengths(res.headers_mut());
     Ok(res)
 }
 
+/// Returns whether an answer has a body, if maybe an empty one.
+fn has_body(status: StatusCode, method: &Method) -> bool {
+    method != Method::HEAD && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 fn check_transfer_coding(headers: &HeaderMap) -> Result<(), MalformedHead> {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
     let Some(coding) = codings.next() else { return Ok(()) };
@@ -68,6 +78,33 @@
     }
 }
 
+/// Checks that a body has an end.
+///
+/// Without a length it ends with its connection. An answer of HTTP/1.1 that does not say that its
+/// connection closes says that it stays open, so that its length was lost. A field of another name
+/// that bears `chunked` has lost its name, since no other field has this value.
+fn check_body_end(version: Version, headers: &HeaderMap) -> Result<(), MalformedHead> {
+    if headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+    {
+        return Ok(());
+    }
+    let closes = version != Version::HTTP_11 || says_close(headers);
+    let is_chunked = headers.values().any(|value| value.as_bytes().eq_ignore_ascii_case(CHUNKED));
+    match closes && !is_chunked {
+        true => Ok(()),
+        false => Err(MalformedHead::NoLength),
+    }
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let options =
+        headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    options
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 /// Replaces repeated content lengths by the first one; hyper has found that all are equal.
 fn merge_content_lengths(headers: &mut HeaderMap) {
     let Some(first) = headers.get(header::CONTENT_LENGTH).map(HeaderValue::as_bytes) else {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -15,7 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
 use std::fmt;
@@ -157,9 +157,10 @@
         req: Request<Body>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let mut req = req;
+        let method = req.method().clone();
         while let Some(mut sender) = self.take_idle(to) {
             match sender.try_send_request(req).await {
-                Ok(answer) => return accept(answer, Connection { to, sender }),
+                Ok(answer) => return accept(answer, &method, Connection { to, sender }),
                 Err(mut err) => match err.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(SendError::Broken(err.into_error().to_string())),
@@ -168,7 +169,7 @@
         }
         let mut sender = connect(to).await?;
         match sender.try_send_request(req).await {
-            Ok(answer) => accept(answer, Connection { to, sender }),
+            Ok(answer) => accept(answer, &method, Connection { to, sender }),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(SendError::NotSent),
                 None => Err(SendError::Broken(err.into_error().to_string())),
@@ -234,9 +235,10 @@
 /// which closes the connection.
 fn accept(
     answer: Response<Incoming>,
+    method: &Method,
     connection: Connection,
 ) -> Result<(Response<Incoming>, Connection), SendError> {
-    let answer = answer::accept(answer).map_err(SendError::Malformed)?;
+    let answer = answer::accept(answer, method).map_err(SendError::Malformed)?;
     Ok((answer, connection))
 }
 
--- a/crates/testkit/src/hosted/endless.rs
+++ b/crates/testkit/src/hosted/endless.rs
@@ -19,8 +19,10 @@
     Header,
     /// Interim answers before the final one.
     Interim,
-    /// In a body whose length is not stated.
+    /// In a body that ends with its connection.
     Body,
+    /// In a body of whose end the head says nothing.
+    UnstatedBody,
     /// In the size line of a chunk.
     ChunkSize,
     /// In the headers after a chunked body.
@@ -121,7 +123,8 @@
         Endless::Noise => (String::new(), "\u{1}~noise".to_string()),
         Endless::Header => (format!("{ok}x-long: "), "a".to_string()),
         Endless::Interim => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n".to_string()),
-        Endless::Body => (format!("{ok}\r\n"), "\u{1}~noise".to_string()),
+        Endless::Body => (format!("{ok}connection: close\r\n\r\n"), "\u{1}~noise".to_string()),
+        Endless::UnstatedBody => (format!("{ok}\r\n"), "\u{1}~noise".to_string()),
         Endless::ChunkSize => (format!("{ok}transfer-encoding: chunked\r\n\r\n1"), ";a=b".into()),
         Endless::Trailers => {
             (format!("{ok}transfer-encoding: chunked\r\n\r\n0\r\n"), "x-t: a\r\n".to_string())
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -53,6 +53,16 @@
     broken(b"content-length: 10, 11\r\n", PLAIN),
 ];
 
+/// Heads that state no length, although they do not say that the connection ends.
+const NO_LENGTH: [Broken; 6] = [
+    broken(b"", PLAIN),
+    broken(b"transfer-encodinh: chunked\r\n", CHUNKS),
+    broken(b"content-lengtg: 10\r\n", PLAIN),
+    broken(b"\r\ncontent-length: 10\r\n", PLAIN),
+    broken(b"connection: keep-alive\r\n", PLAIN),
+    broken(b"connection: close\r\ntransfer-encodinh: chunked\r\n", CHUNKS),
+];
+
 /// Heads that are sound, if unusual.
 const SOUND: [Broken; 5] = [
     broken(b"transfer-encoding:   ChunkeD \r\n", CHUNKS),
@@ -177,6 +187,21 @@
     });
 }
 
+// Guards against what is left of an answer whose length was lost as a whole answer.
+#[test]
+fn an_answer_that_states_no_end_is_not_passed_on() {
+    run(async {
+        insta::assert_snapshot!(outcomes(&NO_LENGTH).await, @r"
+        : 502 no stamp
+        transfer-encodinh: chunked\r\n: 502 no stamp
+        content-lengtg: 10\r\n: 502 no stamp
+        \r\ncontent-length: 10\r\n: 502 no stamp
+        connection: keep-alive\r\n: 502 no stamp
+        connection: close\r\ntransfer-encodinh: chunked\r\n: 502 no stamp
+        ");
+    });
+}
+
 // Guards against the opposite: an answer that can be told to be whole is refused, or its length is
 // passed on in a form that not all clients read.
 #[test]
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -20,11 +20,12 @@
 const MAX_MEMORY: u64 = 32 << 20;
 /// Calls at the same time: as many as the upstream has slots.
 const CALLS: usize = 4;
-const MODES: [Endless; 7] = [
+const MODES: [Endless; 8] = [
     Endless::Noise,
     Endless::Header,
     Endless::Interim,
     Endless::Body,
+    Endless::UnstatedBody,
     Endless::ChunkSize,
     Endless::Trailers,
     Endless::Surplus,
@@ -89,12 +90,13 @@
         for mode in MODES {
             results.push(format!("{mode:?}: {:?}", check(mode).await));
         }
-        // A body without a stated length is passed on as it arrives, and breaks off.
+        // A body that ends with its connection is passed on as it arrives, and breaks off.
         insta::assert_snapshot!(results.join("\n"), @r"
         Noise: [Some(502)]
         Header: [Some(502)]
         Interim: [Some(504)]
         Body: [None]
+        UnstatedBody: [Some(502)]
         ChunkSize: [Some(502)]
         Trailers: [Some(502)]
         Surplus: [Some(200)]
