Answer a call whose deadline ended its attempt with 504

Callers got 502 with the reason `no-upstream` in place of 504 at the deadline of their call. Both promise nothing; the reason sends operators the wrong way.

Cause: the exit daemon counts a deadline in whole milliseconds, so that its report of it may arrive a fraction of one early. The call was then tried again with nothing left of its time, and no other upstream was known.

Change: an attempt that ends with `deadline` is the call's last one.

--- a/src/daemon/request/attempts/mod.rs
+++ b/src/daemon/request/attempts/mod.rs
@@ -32,6 +32,8 @@
 const LINK_BUSY: &str = "link-busy";
 /// Refusal reason of a host whose upstream must leave the call to another version.
 const HELD_BACK: &str = "held-back";
+/// Reason of an attempt that the deadline of its call ended.
+const DEADLINE: &str = "deadline";
 /// Pause before a call that a host left to another version is sent again.
 const STAGE_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -143,7 +145,11 @@
             );
             return give_up(d, &call, history, reason, retry_after);
         }
-        let decision = decide(d, &call, &payload, &history, attempt, may_have_run);
+        let decision = match reason {
+            // The exit daemon counts in whole milliseconds and gives a call up a moment early.
+            DEADLINE => RetryDecision::Unknown,
+            _ => decide(d, &call, &payload, &history, attempt, may_have_run),
+        };
         log_failed_attempt(d, &call, &target, attempt, reason, decision, now);
         match decision {
             RetryDecision::Retry => d.metrics.incr("call.retried"),
