Refuse answers with a lone line feed in their head

Callers got a 200 with the stamp whose body began with the rest of the head: `\r\n01234567` where the last line's carriage return was a line feed, and `content-length: 10\r\n\r\n0123456789` where a line feed stood before that line.

Cause: hyper's parser takes a line feed alone for the end of a line, as RFC 9112 2.2 lets a recipient, and two of them for the end of the head. One broken byte is enough to end a head early.

Ruled out: a setting of hyper; there is none for it. What it parsed does not show where the lines ended, so that the bytes have to be looked at before.

Change: a stream between the socket and hyper counts the lines of each head that a request waits for, and ends the connection at a lone line feed. It looks at heads only, interim ones too; bodies pass unread.

broken_answers::an_answer_with_a_lone_line_feed_in_its_head_is_not_passed_on, five heads.

--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -25,6 +25,8 @@
     TwoLengths,
     /// Nothing states where the body ends.
     NoLength,
+    /// A line does not end with a carriage return and a line feed.
+    LoneLineFeed,
 }
 
 impl fmt::Display for MalformedHead {
@@ -37,6 +39,9 @@
                 write!(f, "it has both a transfer coding and a content length")
             }
             MalformedHead::NoLength => write!(f, "nothing states where its body ends"),
+            MalformedHead::LoneLineFeed => {
+                write!(f, "a line of its head ends with a lone line feed")
+            }
         }
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -8,17 +8,21 @@
 use crate::answer::{self, MalformedHead};
 use crate::body::{Body, BodyError};
 use crate::fair::Fair;
+use crate::head_lines::{HeadLines, NextHead};
 use crate::keep_alive::MAX_KEEP_ALIVE;
 use crate::reactor::Async;
 use crate::{exec, socket};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Method, Request, Response};
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
+use std::error::Error as _;
 use std::fmt;
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -103,15 +107,31 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Body>,
+    link: Link,
     expires: Instant,
 }
 
+/// A connection's end at the sender of requests.
+struct Link {
+    sender: SendRequest<Body>,
+    next_head: NextHead,
+}
+
+impl Link {
+    async fn send(
+        &mut self,
+        req: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        self.next_head.expect();
+        self.sender.try_send_request(req).await
+    }
+}
+
 /// The connection on which an answer arrives. Dropping it closes the connection once the
 /// answer has ended.
 pub struct Connection {
     to: SocketAddr,
-    sender: SendRequest<Body>,
+    link: Link,
 }
 
 impl Connection {
@@ -121,14 +141,14 @@
     /// To be called only after the complete answer has been read and found to belong
     /// to its request.
     pub fn return_to(self, pool: &Pool, timeout: Duration) {
-        if self.sender.is_closed() {
+        if self.link.sender.is_closed() {
             return;
         }
         let mut idle = pool.lock();
         let connections = idle.entry(self.to).or_default();
         if connections.len() < pool.max_per_address {
             let expires = Instant::now() + timeout.min(MAX_KEEP_ALIVE);
-            connections.push(IdleConnection { sender: self.sender, expires });
+            connections.push(IdleConnection { link: self.link, expires });
         }
     }
 }
@@ -158,21 +178,21 @@
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let mut req = req;
         let method = req.method().clone();
-        while let Some(mut sender) = self.take_idle(to) {
-            match sender.try_send_request(req).await {
-                Ok(answer) => return accept(answer, &method, Connection { to, sender }),
+        while let Some(mut link) = self.take_idle(to) {
+            match link.send(req).await {
+                Ok(answer) => return accept(answer, &method, Connection { to, link }),
                 Err(mut err) => match err.take_message() {
                     Some(unsent) => req = unsent,
-                    None => return Err(SendError::Broken(err.into_error().to_string())),
+                    None => return Err(broken(&err.into_error())),
                 },
             }
         }
-        let mut sender = connect(to).await?;
-        match sender.try_send_request(req).await {
-            Ok(answer) => accept(answer, &method, Connection { to, sender }),
+        let mut link = connect(to).await?;
+        match link.send(req).await {
+            Ok(answer) => accept(answer, &method, Connection { to, link }),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(SendError::NotSent),
-                None => Err(SendError::Broken(err.into_error().to_string())),
+                None => Err(broken(&err.into_error())),
             },
         }
     }
@@ -209,21 +229,23 @@
     pub fn sweep(&self) {
         let now = Instant::now();
         self.lock().retain(|_, connections| {
-            connections
-                .retain(|connection| now < connection.expires && !connection.sender.is_closed());
+            connections.retain(|connection| {
+                now < connection.expires && !connection.link.sender.is_closed()
+            });
             !connections.is_empty()
         });
     }
 
     /// Takes the connection that was used most recently, so that surplus connections
     /// reach their idle timeout.
-    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, to: SocketAddr) -> Option<Link> {
         let now = Instant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&to)?;
-        connections.retain(|connection| now < connection.expires && !connection.sender.is_closed());
-        let ready = connections.iter().rposition(|connection| connection.sender.is_ready())?;
-        Some(connections.remove(ready).sender)
+        connections
+            .retain(|connection| now < connection.expires && !connection.link.sender.is_closed());
+        let ready = connections.iter().rposition(|connection| connection.link.sender.is_ready())?;
+        Some(connections.remove(ready).link)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
@@ -231,6 +253,20 @@
     }
 }
 
+/// Returns why a connection broke on which a request was sent.
+fn broken(err: &hyper::Error) -> SendError {
+    match find_malformed(err) {
+        Some(why) => SendError::Malformed(why),
+        None => SendError::Broken(err.to_string()),
+    }
+}
+
+/// Returns the error of [`HeadLines`] that ended a connection, if one did.
+fn find_malformed(err: &hyper::Error) -> Option<MalformedHead> {
+    let err = err.source()?.downcast_ref::<io::Error>()?;
+    err.get_ref()?.downcast_ref().copied()
+}
+
 /// Passes an answer on with its connection, unless its head is malformed. Both are dropped then,
 /// which closes the connection.
 fn accept(
@@ -270,20 +306,22 @@
     }
 }
 
-async fn connect(to: SocketAddr) -> Result<SendRequest<Body>, SendError> {
+async fn connect(to: SocketAddr) -> Result<Link, SendError> {
     let stream = exec::timeout(CONNECT_TIMEOUT, Async::<TcpStream>::connect(to))
         .await
         .ok_or_else(|| SendError::Unreached("timed out".to_string()))?
         .map_err(|err| SendError::Unreached(err.to_string()))?;
     socket::set_options(stream.get_ref());
+    let next_head = NextHead::default();
+    let io = HeadLines::new(Fair::new(stream), next_head.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(FuturesIo::new(Fair::new(stream)))
+        .handshake(FuturesIo::new(io))
         .await
         .map_err(|err| SendError::Unreached(err.to_string()))?;
     exec::spawn(async move {
         let _closed = connection.await;
     })
     .detach();
-    Ok(sender)
+    Ok(Link { sender, next_head })
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod client;
 pub mod exec;
 mod fair;
+mod head_lines;
 pub mod keep_alive;
 pub mod reactor;
 pub mod server;
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -63,6 +63,15 @@
     broken(b"connection: close\r\ntransfer-encodinh: chunked\r\n", CHUNKS),
 ];
 
+/// Heads in which a line feed stands alone.
+const LONE_LINE_FEEDS: [Broken; 5] = [
+    broken(b"x-a: b\n\r\ncontent-length: 10\r\n", PLAIN),
+    broken(b"content-length: 10\r\nx-a: b\n\nx-b: c\r\n", PLAIN),
+    broken(b"content-length: 10\n\n", PLAIN),
+    broken(b"content-length: 10\n", PLAIN),
+    broken(b"connection: close\r\n\ncontent-length: 10\r\n", PLAIN),
+];
+
 /// Heads that are sound, if unusual.
 const SOUND: [Broken; 5] = [
     broken(b"transfer-encoding:   ChunkeD \r\n", CHUNKS),
@@ -202,6 +211,20 @@
     });
 }
 
+// Guards against the rest of a head as the beginning of the body.
+#[test]
+fn an_answer_with_a_lone_line_feed_in_its_head_is_not_passed_on() {
+    run(async {
+        insta::assert_snapshot!(outcomes(&LONE_LINE_FEEDS).await, @r"
+        x-a: b\n\r\ncontent-length: 10\r\n: 502 no stamp
+        content-length: 10\r\nx-a: b\n\nx-b: c\r\n: 502 no stamp
+        content-length: 10\n\n: 502 no stamp
+        content-length: 10\n: 502 no stamp
+        connection: close\r\n\ncontent-length: 10\r\n: 502 no stamp
+        ");
+    });
+}
+
 // Guards against the opposite: an answer that can be told to be whole is refused, or its length is
 // passed on in a form that not all clients read.
 #[test]
