--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -113,7 +113,7 @@
 ///
 /// Without a length it ends with its connection. An answer of HTTP/1.1 that does not say that its
 /// connection closes says that it stays open, so that its length was lost. A field of another name
-/// that bears `chunked` has lost its name, since no other field has this value.
+/// whose value ends with `chunked` is a transfer coding that lost its name or a part of it.
 fn check_body_end(version: Version, headers: &HeaderMap) -> Result<(), MalformedHead> {
     if headers.contains_key(header::CONTENT_LENGTH)
         || headers.contains_key(header::TRANSFER_ENCODING)
@@ -121,7 +121,11 @@
         return Ok(());
     }
     let closes = version != Version::HTTP_11 || says_close(headers);
-    let is_chunked = headers.values().any(|value| value.as_bytes().eq_ignore_ascii_case(CHUNKED));
+    let is_chunked = headers.values().any(|value| {
+        let value = value.as_bytes();
+        let start = value.len().saturating_sub(CHUNKED.len());
+        value[start..].eq_ignore_ascii_case(CHUNKED)
+    });
     match closes && !is_chunked {
         true => Ok(()),
         false => Err(MalformedHead::NoLength),
