Refuse successes without the stamp of their upstream

Callers got a 200 with the right body and no `X-Server-Stamp`: the name of that field was one byte off.

Cause: the daemon knew which header shows that an answer belongs to its call, but not the one that shows who made it.

Ruled out: a check in the client of crates/http; the header is the platform's.

Change: the platform's dialect names the header, and the exit side takes a success without it as it takes an answer with another call's id: `wrong-answer`, 502 or sent again where it may be. Failures and the product's own interface, which has no such header, are as before.

broken_answers::a_success_without_the_stamp_of_its_upstream_is_not_passed_on.

--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -37,6 +37,8 @@
     /// Whether upstreams repeat the request id in their answers. An answer with
     /// another id belongs to another call.
     pub echoes_request_id: bool,
+    /// On each successful answer of an upstream: shows that the upstream made it.
+    pub stamp: Option<HeaderName>,
     /// Whether `Retry-After` may have a fraction.
     pub fractional_retry_after: bool,
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -553,6 +553,7 @@
         leaving: HeaderName::from_static(call::LEAVING),
         instance: None,
         echoes_request_id: false,
+        stamp: None,
         fractional_retry_after: false,
     }
 }
--- a/src/daemon/request/exit.rs
+++ b/src/daemon/request/exit.rs
@@ -23,6 +23,7 @@
 use cicadashift_http::exec;
 use cicadashift_http::hyper::body::Incoming;
 use cicadashift_http::hyper::header::HeaderMap;
+use cicadashift_http::hyper::http::response;
 use cicadashift_http::hyper::{Request, Response, StatusCode};
 use cicadashift_http::keep_alive;
 use cicadashift_wire::call::{self, Context};
@@ -261,7 +262,7 @@
     // An upstream may send a second answer, or the answer to an earlier call, on a reused
     // connection, and a caller would get the answer to another caller's request. An answer
     // without this call's id is not passed on, and its connection is closed.
-    if d.dialect.echoes_request_id && !has_request_id(d, cx, &head.headers) {
+    if !is_of_call(d, cx, &head) {
         permit.end(End::Failed, d.clock.now());
         d.metrics.incr("upstream.wrong_answer");
         return unknown(d, cx, StatusCode::BAD_GATEWAY, "wrong-answer", started, local);
@@ -354,6 +355,13 @@
     }
 }
 
+/// Returns whether an answer bears what shows that an upstream made it for this call.
+fn is_of_call(d: &Daemon, cx: &Context, head: &response::Parts) -> bool {
+    let is_stamped = d.dialect.stamp.as_ref().is_none_or(|name| head.headers.contains_key(name));
+    (!d.dialect.echoes_request_id || has_request_id(d, cx, &head.headers))
+        && (is_stamped || !head.status.is_success())
+}
+
 fn has_request_id(d: &Daemon, cx: &Context, head: &HeaderMap) -> bool {
     headers::text(head, d.dialect.request_id.as_str()) == Some(cx.request_id.as_str())
 }
@@ -363,7 +371,7 @@
 fn refusal_of_upstream(
     d: &Arc<Daemon>,
     cx: &Context,
-    head: &cicadashift_http::hyper::http::response::Parts,
+    head: &response::Parts,
     local: &Arc<LocalUpstream>,
 ) -> Option<Response<Body>> {
     if headers::text(&head.headers, d.dialect.not_run.as_str())? == call::UNKNOWN {
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -21,17 +21,18 @@
 /// An answer that is sound but for one part of its head.
 struct Broken {
     status: &'static str,
+    stamp: &'static str,
     /// In place of the line that states the length of the body.
     lines: &'static [u8],
     body: &'static str,
 }
 
 const fn broken(lines: &'static [u8], body: &'static str) -> Broken {
-    Broken { status: "200", lines, body }
+    Broken { status: "200", stamp: STAMP, lines, body }
 }
 
 const fn status(status: &'static str) -> Broken {
-    Broken { status, lines: b"content-length: 10\r\n", body: PLAIN }
+    Broken { status, ..broken(b"content-length: 10\r\n", PLAIN) }
 }
 
 /// Heads in which the transfer coding is broken or is none that a client knows.
@@ -90,7 +91,13 @@
     status("600"),
     status("999"),
     status("204"),
-    Broken { status: "204", lines: b"transfer-encoding: chunked\r\n", body: CHUNKS },
+    Broken { status: "204", ..broken(b"transfer-encoding: chunked\r\n", CHUNKS) },
+];
+
+/// Heads in which the stamp lost its name, or a part of it.
+const UNSTAMPED: [Broken; 2] = [
+    Broken { stamp: "x-server-stamq: broken", ..broken(b"content-length: 10\r\n", PLAIN) },
+    Broken { stamp: "x-server:stamp: broken", ..broken(b"content-length: 10\r\n", PLAIN) },
 ];
 
 /// Heads that are sound, if unusual.
@@ -100,15 +107,17 @@
     broken(b"content-length: 10\r\ncontent-length: 10\r\n", PLAIN),
     broken(b"content-length: 10\r\nconnection: close\r\n", PLAIN),
     broken(b"connection: keep-alive, Close\r\n", PLAIN),
-    Broken { status: "204", lines: b"", body: "" },
-    Broken { status: "204", lines: b"content-length: 0\r\n", body: "" },
-    Broken { status: "304", lines: b"content-length: 10\r\n", body: "" },
+    Broken { status: "204", ..broken(b"", "") },
+    Broken { status: "204", ..broken(b"content-length: 0\r\n", "") },
+    Broken { status: "304", ..broken(b"content-length: 10\r\n", "") },
     status("599"),
 ];
 
 fn answer(broken: &Broken, request_id: &str) -> Vec<u8> {
-    let start =
-        format!("HTTP/1.1 {} OK\r\nx-request-id: {request_id}\r\n{STAMP}\r\n", broken.status);
+    let start = format!(
+        "HTTP/1.1 {} OK\r\nx-request-id: {request_id}\r\n{}\r\n",
+        broken.status, broken.stamp
+    );
     [start.as_bytes(), broken.lines, b"\r\n", broken.body.as_bytes()].concat()
 }
 
@@ -177,7 +186,12 @@
                 let id = format!("broken-{}", out.len());
                 let got = request(&fleet, daemon, &path(index, end), &id).await;
                 assert!(upstream.runs().contains(&id), "{}", fleet.trace(&id));
-                out.push((format!("{} {}", broken.status, broken.lines.escape_ascii()), got));
+                let lines = broken.lines.escape_ascii();
+                let head = match broken.stamp {
+                    STAMP => format!("{} {lines}", broken.status),
+                    stamp => format!("{} {stamp}\\r\\n{lines}", broken.status),
+                };
+                out.push((head, got));
             }
         }
     }
@@ -273,6 +287,17 @@
     });
 }
 
+// Guards against a success that nobody can tell from one that the upstream did not send.
+#[test]
+fn a_success_without_the_stamp_of_its_upstream_is_not_passed_on() {
+    run(async {
+        insta::assert_snapshot!(outcomes(&UNSTAMPED).await, @r"
+        200 x-server-stamq: broken\r\ncontent-length: 10\r\n: 502 no stamp
+        200 x-server:stamp: broken\r\ncontent-length: 10\r\n: 502 no stamp
+        ");
+    });
+}
+
 // Guards against the opposite: an answer that can be told to be whole is refused, or its length is
 // passed on in a form that not all clients read.
 #[test]
