Let the soak break bytes in heads of answers, and check whole bodies

The soak cut heads only, and took any 200 for an own answer whose body held the request's id. Now instances also send heads in which one byte is broken, and a 200 counts only if its body is all that the instance sent, with nothing else in it.

--- a/crates/testkit/src/hosted/front.rs
+++ b/crates/testkit/src/hosted/front.rs
@@ -1,6 +1,6 @@
 //! A TCP relay in front of an instance, which simulates the end of its process by closing
 //! its port and all its connections. It can also end connections in the middle of an answer's
-//! head.
+//! head, or break a byte of it.
 
 use cicadashift_http::exec;
 use smol::io::{AsyncReadExt, AsyncWriteExt, copy};
@@ -23,15 +23,23 @@
     accept_task: Mutex<Option<Task<()>>>,
     /// One task for each connection. Dropping a task closes its sockets.
     connections: Arc<Mutex<Vec<Task<()>>>>,
-    cuts: Arc<Mutex<Cuts>>,
+    faults: Arc<Mutex<HeadFaults>>,
+}
+
+/// What happens to the heads of answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadFault {
+    /// The connection is closed after so many bytes of a head.
+    Cut(usize),
+    /// The byte at this position of a head is replaced by this one, or the next carriage return by
+    /// a line feed. The connection is closed behind the bytes that arrived with the head.
+    Broken(usize, u8),
 }
 
-/// Where heads are cut.
 #[derive(Default)]
-struct Cuts {
-    /// Bytes of a head that are relayed before its connection is closed; `None` cuts none.
-    after_bytes: Option<usize>,
-    /// Heads that were cut.
+struct HeadFaults {
+    fault: Option<HeadFault>,
+    /// Heads that were cut or broken.
     count: usize,
 }
 
@@ -49,7 +57,7 @@
             server,
             accept_task: Mutex::default(),
             connections: Arc::default(),
-            cuts: Arc::default(),
+            faults: Arc::default(),
         };
         relay.listen(listener);
         relay
@@ -79,22 +87,22 @@
         self.listen(listener);
     }
 
-    /// Closes each connection after so many bytes of the next answer's head, or none from now on.
-    pub fn cut_heads(&self, after_bytes: Option<usize>) {
-        lock(&self.cuts).after_bytes = after_bytes;
+    /// Lets something happen to each head, or nothing from now on.
+    pub fn set_head_fault(&self, fault: Option<HeadFault>) {
+        lock(&self.faults).fault = fault;
     }
 
-    /// Returns the number of heads that were cut.
-    pub fn heads_cut(&self) -> usize {
-        lock(&self.cuts).count
+    /// Returns the number of heads that were cut or broken.
+    pub fn faulty_heads(&self) -> usize {
+        lock(&self.faults).count
     }
 
     fn listen(&self, listener: Async<TcpListener>) {
         let (server, connections) = (self.server, Arc::downgrade(&self.connections));
-        let cuts = self.cuts.clone();
+        let faults = self.faults.clone();
         let accept_task = exec::spawn(async move {
             while let Ok((inbound, _)) = listener.accept().await {
-                let connection = exec::spawn(relay_connection(inbound, server, cuts.clone()));
+                let connection = exec::spawn(relay_connection(inbound, server, faults.clone()));
                 match connections.upgrade() {
                     Some(connections) => lock(&connections).push(connection),
                     None => return,
@@ -105,12 +113,16 @@
     }
 }
 
-async fn relay_connection(inbound: Async<TcpStream>, server: SocketAddr, cuts: Arc<Mutex<Cuts>>) {
+async fn relay_connection(
+    inbound: Async<TcpStream>,
+    server: SocketAddr,
+    faults: Arc<Mutex<HeadFaults>>,
+) {
     let Ok(outbound) = Async::<TcpStream>::connect(server).await else { return };
     let _best_effort = (inbound.get_ref().set_nodelay(true), outbound.get_ref().set_nodelay(true));
     // The first side that closes ends both directions.
     let forward = copy(&inbound, &outbound);
-    let backward = relay_answers(&outbound, &inbound, &cuts);
+    let backward = relay_answers(&outbound, &inbound, &faults);
     let _closed = smol::future::or(async { forward.await.map(drop) }, backward).await;
 }
 
@@ -118,7 +130,7 @@
 async fn relay_answers(
     mut server: &Async<TcpStream>,
     mut client: &Async<TcpStream>,
-    cuts: &Mutex<Cuts>,
+    faults: &Mutex<HeadFaults>,
 ) -> io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
@@ -126,7 +138,7 @@
         if len == 0 {
             return Ok(());
         }
-        let cut = lock(cuts).of(&buf[..len]);
+        let cut = lock(faults).apply(&mut buf[..len]);
         client.write_all(&buf[..cut.unwrap_or(len)]).await?;
         if cut.is_some() {
             return Ok(());
@@ -134,13 +146,23 @@
     }
 }
 
-impl Cuts {
-    /// Returns how many of these bytes are relayed if they begin with a head that is to be cut.
-    fn of(&mut self, bytes: &[u8]) -> Option<usize> {
-        let after_bytes = self.after_bytes.filter(|_| bytes.starts_with(STATUS_LINE_START))?;
+impl HeadFaults {
+    /// Breaks a head at the beginning of these bytes, or returns how many of them are relayed if it
+    /// is to be cut.
+    fn apply(&mut self, bytes: &mut [u8]) -> Option<usize> {
+        let fault = self.fault.filter(|_| bytes.starts_with(STATUS_LINE_START))?;
         let end = bytes.windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
         self.count += 1;
-        Some(after_bytes.min(end))
+        match fault {
+            HeadFault::Cut(after_bytes) => Some(after_bytes.min(end)),
+            HeadFault::Broken(at, byte) => {
+                let at = at % end;
+                let line_end = bytes[at..].iter().position(|byte| *byte == b'\r').unwrap_or(0);
+                let at = if byte == b'\n' { at + line_end } else { at };
+                bytes[at] = byte;
+                Some(bytes.len())
+            }
+        }
     }
 }
 
--- a/crates/testkit/src/hosted/instance.rs
+++ b/crates/testkit/src/hosted/instance.rs
@@ -4,7 +4,7 @@
 //! A request whose path contains [`FATAL_PATH`] crashes the instance during the execution of
 //! the request. The instance restarts under another id after [`RESTART_DELAY`].
 
-use super::front::Relay;
+use super::front::{HeadFault, Relay};
 use crate::upstream::Ledger;
 use bytes::Bytes;
 use cicadashift_http::body::{self, Body, BodyError};
@@ -311,14 +311,14 @@
         *lock(&self.shared.answers_health) = answers_health;
     }
 
-    /// Closes each connection after so many bytes of the next answer's head, or none from now on.
-    pub fn cut_heads(&self, after_bytes: Option<usize>) {
-        self.shared.relay.cut_heads(after_bytes);
+    /// Lets something happen to the head of each answer, or nothing from now on.
+    pub fn set_head_fault(&self, fault: Option<HeadFault>) {
+        self.shared.relay.set_head_fault(fault);
     }
 
-    /// Returns the number of answers whose heads were cut.
-    pub fn heads_cut(&self) -> usize {
-        self.shared.relay.heads_cut()
+    /// Returns the number of answers whose heads were cut or broken.
+    pub fn faulty_heads(&self) -> usize {
+        self.shared.relay.faulty_heads()
     }
 
     /// Makes health answers say that the instance takes no calls, or what it does.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,8 +7,8 @@
 
 #[path = "../common/mod.rs"]
 mod common;
-mod cuts;
 mod downloads;
+mod head_faults;
 mod leavings;
 mod odd_entries;
 mod quotas;
@@ -21,8 +21,8 @@
 use cicadashift_testkit::hosted::instance::AnswerMode;
 use cicadashift_testkit::hosted::store::{Outage, StoreCopy};
 use common::run;
-use cuts::Cuts;
 use downloads::Downloads;
+use head_faults::HeadFaults;
 use leavings::Leavings;
 use odd_entries::OddEntries;
 use std::collections::{BTreeMap, BTreeSet};
@@ -187,9 +187,8 @@
     // Callers send idempotent and non-idempotent requests throughout the run. Daemons are
     // killed, frozen, stopped and reloaded; instances crash, leave, do not answer, or answer
     // with the id of another request, break huge answers off or stall in them, or end their
-    // connections in the middle of an answer's head; the store fails
-    // and is restored from a copy. No
-    // non-idempotent request may run twice or after a refusal, no caller may get the answer
+    // connections in the middle of an answer's head or send a broken byte in it; the store fails
+    // and is restored from a copy. No non-idempotent request may run twice or after a refusal, no caller may get the answer
     // to another request, and all daemons must serve again after the last fault. One caller
     // repeats a request that crashes instances: undisturbed daemons must stop forwarding it.
     let regressions = REGRESSIONS.iter().map(|(seed, _)| *seed);
@@ -277,7 +276,7 @@
     let mut disturbances = Disturbances::default();
     let mut limits = Limits::default();
     let mut leavings = Leavings::new(time);
-    let cuts = Cuts::start(seed, &fleet);
+    let head_faults = HeadFaults::start(seed, &fleet);
     let mut odd_entries = OddEntries::new(seed);
     let until = Instant::now() + time;
     while Instant::now() < until {
@@ -293,7 +292,7 @@
         fault_log.push(inject_fault(&mut run, &mut random).await);
         smol::Timer::after(Duration::from_millis(100 + random.below(500))).await;
     }
-    cuts.end(seed).await;
+    head_faults.end(seed).await;
     fatal_caller.cancel().await;
     check_fatal_runs(seed, &fleet, &disturbances, &fault_log);
     check_limits(seed, &fleet, &limits, &disturbances, &fault_log);
@@ -344,7 +343,7 @@
         let outcome = match caller.call(method.clone(), path, &id).await {
             None => Outcome::Unknown,
             Some(res) => match res.status().as_u16() {
-                200 if res.body().contains(&format!(" {id} ")) => Outcome::Answered,
+                200 if is_whole(res.body(), &id) => Outcome::Answered,
                 200 => Outcome::WrongAnswer,
                 429 | 503 => Outcome::NotRun,
                 _ => Outcome::Unknown,
@@ -355,6 +354,15 @@
     }
 }
 
+/// Returns whether a body is all that an instance sends in answer to a request: its own id, the
+/// request's, and the length of the request's body.
+fn is_whole(body: &str, id: &str) -> bool {
+    let parts: Vec<&str> = body.split(' ').collect();
+    let is_number = |part: &str| part.parse::<usize>().is_ok();
+    matches!(parts[..], [instance, echoed, length]
+        if echoed == id && is_number(length) && !instance.contains(char::is_control))
+}
+
 /// Sends the request that crashes instances to each daemon in turn, until cancelled.
 async fn call_fatal(callers: Vec<cicadashift_testkit::hosted::fleet::HostedCaller>) {
     let mut n = 0;
