Refuse calls that may not be repeated late in a stop that might cut them

A caller's request that may not be repeated was taken late in the grace of a planned stop, passed on, and answered 504 by the daemon at the end of it, while the upstream was at work: lost, and not to be sent again.

Cause: a call that arrives while the daemon stops gets the rest of the grace as its deadline, however little that is. Idle connections are closed by then and no new ones are accepted, but a request that was half sent is still taken when its last bytes come.

Ruled out: the close of connections (whole, half-sent and pipelined requests either ran and were answered, or did not run).

Change: once callers have had their time to move, a call that may not be repeated is begun only if the stop leaves it all of its time; otherwise it is refused at once, as not run (`stopping`, 503). What comes while callers still move, and what may be repeated, is served as before.

stopping::a_request_that_comes_late_in_the_grace_is_answered_by_its_upstream_or_does_not_run: 160 requests completed over 4.5 s around a grace of 4 s, a route with 6 s, upstreams that take 0.6 s. Before: the body that ended 2.5 s after SIGTERM ran and got 504.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -236,7 +236,8 @@
             "upstreams of another version are to serve the call; see `cicadashift rollouts`"
         }
         "upstream-failed" => "the upstream answered with a failure of its own",
-        "wrong-answer" => "the upstream sent the answer to another request",
+        "wrong-answer" => "the upstream sent the answer to another request, or a success unstamped",
+        "stopping" => "the daemon was about to end, and the call may not be sent twice",
         "shed" => "the upstream reported that it was full",
         "misdirected" | "gone" => "another instance or none has the address; look at reports",
         "draining" => "the upstream was leaving",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -176,6 +176,8 @@
     pub leaving: AtomicBool,
     /// End of a planned stop, once it has begun.
     stops_at: OnceLock<Instant>,
+    /// Whether callers have had their time to move to other hosts in a planned stop.
+    has_left: AtomicBool,
     /// Bytes exchanged with other daemons, by purpose.
     pub costs: costs::Costs,
     /// Calls in flight for which this daemon is entry or exit.
@@ -416,6 +418,7 @@
             gateway: gateway::State::default(),
             leaving: AtomicBool::new(false),
             stops_at: OnceLock::new(),
+            has_left: AtomicBool::new(false),
             costs: costs::Costs::default(),
             calls_in_flight: AtomicU64::new(0),
             udp,
@@ -475,6 +478,12 @@
         stops_at.map_or(deadline, |at| at.min(deadline))
     }
 
+    /// Returns whether a planned stop leaves a call that arrives now less than all of its time, after
+    /// callers had theirs to move to other hosts.
+    pub fn would_cut(&self, deadline: Instant) -> bool {
+        self.has_left.load(Ordering::Relaxed) && self.latest_end(deadline) < deadline
+    }
+
     /// Returns whether the configuration in force has organisations, whose calls compete for the
     /// same upstreams.
     pub fn has_organisations(&self) -> bool {
@@ -509,6 +518,7 @@
             }
         }
         Timer::after(until.saturating_duration_since(self.clock.now())).await;
+        self.has_left.store(true, Ordering::Relaxed);
     }
 
     async fn wait_for_calls(&self, until: Instant) {
--- a/src/daemon/request/entry.rs
+++ b/src/daemon/request/entry.rs
@@ -4,6 +4,7 @@
 use super::digest::DigestInput;
 use super::log_lines::RefuseLine;
 use super::payload::{MAX_BUFFERED, buffer};
+use super::refuse::refuse;
 use super::sender::{self, Sender};
 use super::tracked::InFlightGuard;
 use super::work::{RoutedCall, pick_part};
@@ -41,6 +42,11 @@
 /// once, or after three seconds if the store falls silent without an error.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(15);
 
+/// Reason of a refusal of a call that a planned stop might cut.
+const STOPPING: &str = "stopping";
+/// `Retry-After` of such a call; a stop and a start take longer, another host answers at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
+
 /// How long before its caller's deadline a call is given up, so that the error response
 /// still reaches the caller: a round trip to the caller, at most about 16 ms, and the
 /// processing in this daemon.
@@ -181,7 +187,11 @@
         turn,
         place,
     };
-    let res = attempts::run(d, call, payload).await;
+    // A call that may not be repeated, and that the end of a stop may cut, would be lost.
+    let res = match !call.repeatable && d.would_cut(started + timeout) {
+        true => refuse(d, &call, &[], STOPPING, jitter(STOPPING_RETRY_AFTER, fastrand::u64(..))),
+        false => attempts::run(d, call, payload).await,
+    };
     d.dependencies.record_entered(d, KindKey(kind), &res);
     if let Some(account) = organisation.filter(|_| headers::is_not_run(res.headers())) {
         d.limits.give_back(account.limit);
