Test bytes without end of many calls by way of another daemon

Guards the report of a machine that kept all bytes of a faulty instance and ran out of memory: 32 calls at once by way of a daemon on another host, eight ways of bytes without end, both daemons under 32 MB each.

--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -20,6 +20,8 @@
 const MAX_MEMORY: u64 = 32 << 20;
 /// Calls at the same time: as many as the upstream has slots.
 const CALLS: usize = 4;
+/// Calls at the same time by way of another daemon.
+const MANY_CALLS: usize = 32;
 const MODES: [Endless; 8] = [
     Endless::Noise,
     Endless::Header,
@@ -32,20 +34,34 @@
 ];
 const ID: &str = "i-endless";
 
-/// Returns a daemon whose only upstream in use sends bytes without end.
-async fn serving_endless(mode: Endless) -> (HostedFleet, EndlessUpstream) {
-    let fleet = HostedFleet::serving(Path::new(env!("CARGO_BIN_EXE_cicadashift")), 1).await;
+/// Returns daemons whose only upstream in use, beside the first one, sends bytes without end.
+async fn serving_endless(
+    daemons: usize,
+    slots: usize,
+    mode: Endless,
+) -> (HostedFleet, EndlessUpstream) {
+    let fleet = HostedFleet::serving(Path::new(env!("CARGO_BIN_EXE_cicadashift")), daemons).await;
     let upstream = EndlessUpstream::start(ID, mode);
-    fleet.replace_upstream(0, ID, upstream.addr, CALLS).await;
+    fleet.replace_upstream(0, ID, upstream.addr, slots).await;
+    for daemon in 1..daemons {
+        assert!(fleet.daemons[daemon].instance.drain().await);
+        let is_drained = async |fleet: &HostedFleet| fleet.sees_instances(daemon, 1).await;
+        assert!(fleet.wait(is_drained).await, "{}", fleet.log(daemon));
+    }
     (fleet, upstream)
 }
 
 /// Returns the status codes of calls that are sent at the same time, none where no complete
 /// answer arrived, and checks that each ends in time.
-async fn statuses(fleet: &HostedFleet, mode: Endless) -> Vec<Option<u16>> {
-    let calls: Vec<_> = (0..CALLS)
+async fn statuses(
+    fleet: &HostedFleet,
+    daemon: usize,
+    calls: usize,
+    mode: Endless,
+) -> Vec<Option<u16>> {
+    let calls: Vec<_> = (0..calls)
         .map(|n| {
-            let caller = fleet.caller(0);
+            let caller = fleet.caller(daemon);
             exec::spawn(async move {
                 let began = Instant::now();
                 let id = format!("{mode:?}-{n}");
@@ -68,8 +84,8 @@
 /// Returns the results of calls to an upstream that sends bytes without end, after checks that
 /// it is left in time and that the daemon keeps its memory.
 async fn check(mode: Endless) -> Vec<Option<u16>> {
-    let (fleet, upstream) = serving_endless(mode).await;
-    let statuses = statuses(&fleet, mode).await;
+    let (fleet, upstream) = serving_endless(1, CALLS, mode).await;
+    let statuses = statuses(&fleet, 0, CALLS, mode).await;
     let first = exec::timeout(END_TIMEOUT, upstream.closed.recv()).await;
     let Some(Ok(first)) = first else { panic!("{mode:?}: no connection is closed") };
     let more = std::iter::from_fn(|| upstream.closed.try_recv().ok());
@@ -103,3 +119,23 @@
         ");
     });
 }
+
+// Guards against the same where many calls at once come by way of a daemon on another host, which
+// gets the bytes from the first one.
+#[test]
+fn bytes_without_end_of_many_calls_take_bounded_memory_at_each_daemon() {
+    run(async {
+        for mode in MODES {
+            let (fleet, upstream) = serving_endless(2, MANY_CALLS, mode).await;
+            let statuses = statuses(&fleet, 1, MANY_CALLS, mode).await;
+            let is_surplus = mode == Endless::Surplus;
+            let is_success = |status: &Option<u16>| *status == Some(200);
+            assert!(is_surplus || !statuses.iter().any(is_success), "{mode:?}: {statuses:?}");
+            assert!(exec::timeout(END_TIMEOUT, upstream.closed.recv()).await.is_some(), "{mode:?}");
+            for daemon in 0..2 {
+                let peak = fleet.peak_memory(daemon).expect("the daemon is running");
+                assert!(peak < MAX_MEMORY, "{mode:?}: {peak} bytes at daemon {daemon}");
+            }
+        }
+    });
+}
