--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -39,9 +39,9 @@
 impl fmt::Display for MalformedHead {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            MalformedHead::Status => write!(f, "its status is none of a final answer"),
+            MalformedHead::Status => write!(f, "its status is not that of a final answer"),
             MalformedHead::UnexpectedBody => {
-                write!(f, "it states a body, which its status has not")
+                write!(f, "it states a body, and its status has none")
             }
             MalformedHead::TransferCoding => {
                 write!(f, "its transfer coding is not `chunked` alone")
@@ -75,8 +75,8 @@
     Ok(res)
 }
 
-/// Checks a status; hyper takes all of three digits from 100 on, and answers the interim ones but
-/// 101 itself.
+/// Checks a status. hyper takes each of three digits from 100 on, and handles the interim ones
+/// itself, but for 101.
 fn check_status(status: StatusCode, headers: &HeaderMap) -> Result<(), MalformedHead> {
     if !(200..=MAX_STATUS).contains(&status.as_u16()) {
         return Err(MalformedHead::Status);
@@ -89,7 +89,7 @@
     }
 }
 
-/// Returns whether an answer has a body, if maybe an empty one.
+/// Returns whether an answer may have a body.
 fn has_body(status: StatusCode, method: &Method) -> bool {
     method != Method::HEAD && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
