--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -94,6 +94,18 @@
     Broken { status: "204", ..broken(b"transfer-encoding: chunked\r\n", CHUNKS) },
 ];
 
+/// Heads with a line that is no field, or a field whose name cannot be one.
+const FIELDS: [Broken; 8] = [
+    broken(b"content-length: 10\r\nno field\r\n", PLAIN),
+    broken(b"content-length: 10\r\n: no name\r\n", PLAIN),
+    broken(b"content-length: 10\r\n folded\r\n", PLAIN),
+    broken(b"content-length 10\r\n", PLAIN),
+    broken(b"content-length : 10\r\n", PLAIN),
+    broken(b"content-length: 10\r\nx a: b\r\n", PLAIN),
+    broken(b"content-length: 10\r\nx\x01a: b\r\n", PLAIN),
+    broken(b"content-length: 1x\r\n", PLAIN),
+];
+
 /// Heads in which the stamp lost its name, or a part of it.
 const UNSTAMPED: [Broken; 2] = [
     Broken { stamp: "x-server-stamq: broken", ..broken(b"content-length: 10\r\n", PLAIN) },
@@ -287,6 +299,23 @@
     });
 }
 
+// Guards against a line that is no field, or a name with a blank or a control byte, in an answer.
+#[test]
+fn an_answer_with_a_line_that_is_no_field_is_not_passed_on() {
+    run(async {
+        insta::assert_snapshot!(outcomes(&FIELDS).await, @r"
+        200 content-length: 10\r\nno field\r\n: 502 no stamp
+        200 content-length: 10\r\n: no name\r\n: 502 no stamp
+        200 content-length: 10\r\n folded\r\n: 502 no stamp
+        200 content-length 10\r\n: 502 no stamp
+        200 content-length : 10\r\n: 502 no stamp
+        200 content-length: 10\r\nx a: b\r\n: 502 no stamp
+        200 content-length: 10\r\nx\x01a: b\r\n: 502 no stamp
+        200 content-length: 1x\r\n: 502 no stamp
+        ");
+    });
+}
+
 // Guards against a success that nobody can tell from one that the upstream did not send.
 #[test]
 fn a_success_without_the_stamp_of_its_upstream_is_not_passed_on() {
